Add the thin whole path: platform stand-in, entry daemon, target stand-in

Cause: nothing existed. A request goes from a caller through paddle-entry to paddle-target under a configuration that paddle-platform holds. Ruled out: relying on the HTTP client's own handling of failed connections. Read in its source: it sends a dropped GET again by itself, keeps a connection that was kept alive before after an error on it, and takes the end of the stream for the end of a head. TargetConnection closes all three. Seen: one GET of 100 bytes, one of 3 MB, one POST of 3 MB answered with 200 by hand with curl; a wrong key answered with 401 code 3003.

--- /dev/null
+++ b/sapphirepaddle/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for shared targets with gray failures."""
--- /dev/null
+++ b/sapphirepaddle/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail."""
--- /dev/null
+++ b/sapphirepaddle/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys before dispatch."""
--- /dev/null
+++ b/sapphirepaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs, one module for each."""
--- /dev/null
+++ b/sapphirepaddle/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The request path from caller to target."""
--- /dev/null
+++ b/sapphirepaddle/gateway/dispatch.py
@@ -0,0 +1,403 @@
+"""Running a request at targets, with retries where they are legal."""
+
+import asyncio
+import dataclasses
+import itertools
+import typing
+
+from sapphirepaddle import clock, codes, errors
+from sapphirepaddle.gateway import (
+    answer,
+    attempt,
+    call,
+    headers,
+    retry_budget,
+    target_client,
+)
+from sapphirepaddle.routing import result, table, view, waiting
+from sapphirepaddle.settings import entry
+from sapphirepaddle.telemetry import counters
+
+MILLISECONDS: typing.Final = 1000
+SERVER_ERROR: typing.Final = 500
+CUT_FACTOR: typing.Final = 2
+ENOUGH_SAMPLES: typing.Final = 8
+
+Fault = attempt.Fault
+
+CODES: typing.Final[dict[Fault, codes.ResultCode]] = {  # noqa: WPS407
+    Fault.UNREACHABLE: codes.TARGET_UNREACHABLE,
+    Fault.REFUSED: codes.TARGET_REFUSED,
+    Fault.TIMEOUT: codes.ANSWER_TIMEOUT,
+    Fault.BROKEN: codes.ANSWER_BROKEN,
+    Fault.CROSSED: codes.ANSWER_CROSSED,
+}
+RESULTS: typing.Final[dict[Fault, result.Result]] = {  # noqa: WPS407
+    Fault.UNREACHABLE: result.Result.UNREACHABLE,
+    Fault.REFUSED: result.Result.SHED,
+    Fault.TIMEOUT: result.Result.STALL,
+    Fault.BROKEN: result.Result.BROKEN,
+    Fault.CROSSED: result.Result.BROKEN,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """One attempt in flight.
+
+    Attributes:
+        view: Its target.
+        started: When it was sent.
+        slow_at: When it counts as stalled.
+        noted: Whether that was noted.
+    """
+
+    view: view.View
+    started: float
+    slow_at: float
+    noted: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What was tried for one request.
+
+    Attributes:
+        room: Waiting room of the service.
+        wait_until: End of the patience.
+        run_until: End of the deadline.
+        tries: Attempts that failed.
+        excluded: Targets that failed.
+        may_have_run: Whether an attempt may have run.
+        last: Error answer of an attempt, passed on if nothing is better.
+    """
+
+    room: waiting.WaitingRoom
+    wait_until: float
+    run_until: float
+    tries: int = 0
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+    last: answer.Answer | None = None
+
+
+class Dispatcher:
+    """Sends requests to targets.
+
+    Attributes:
+        settings: Thresholds and bounds.
+        table: The services.
+        counters: Totals for metrics.
+        budget: Retries left by client account.
+        clients: Client of each target by address.
+        running: Attempts in flight.
+        daemons: Daemons that share the connections of a target.
+        prefix: Start of the identifiers of attempts.
+        numbers: Numbers of attempts.
+    """
+
+    def __init__(
+        self,
+        settings: entry.Routing,
+        services: table.RoutingTable,
+        totals: counters.Counters,
+        prefix: str,
+    ) -> None:
+        """Start without clients."""
+        self.settings = settings
+        self.table = services
+        self.counters = totals
+        self.budget = retry_budget.RetryBudget(settings.retry_share)
+        self.clients: dict[str, target_client.TargetClient] = {}
+        self.running: dict[int, Running] = {}
+        self.daemons = 1
+        self.prefix = prefix
+        self.numbers = itertools.count(1)
+
+    async def run(self, request: call.Call) -> answer.Answer:
+        """Run a request at targets until one gives a whole answer.
+
+        Raises:
+            RefusedError: If none does; the code states whether the request
+                may have run.
+        """
+        progress = self.begin(request)
+        self.budget.note_request(request.account_name)
+        try:
+            return await self.repeat(request, progress)
+        except errors.RefusedError:
+            if progress.last is None:
+                raise
+            return progress.last
+
+    async def repeat(
+        self,
+        request: call.Call,
+        progress: Progress,
+    ) -> answer.Answer:
+        """Make attempts until one gives a whole answer worth returning.
+
+        Raises:
+            RefusedError: If none does.
+        """
+        while True:
+            try:
+                received = await self.try_once(request, progress)
+            except attempt.AttemptFailedError as error:
+                self.consider(request, progress, error)
+                continue
+            if not self.wants_better(request, progress, received):
+                return received
+            progress.last = received
+
+    def begin(self, request: call.Call) -> Progress:
+        """Start the limits of a request.
+
+        Raises:
+            RefusedError: If its service is not there.
+        """
+        room = self.table.rooms.get(request.route.service)
+        if room is None:
+            raise errors.RefusedError(codes.NO_TARGET, request.route.service)
+        now = clock.monotonic()
+        wait_until = now + request.route.patience_ms / MILLISECONDS
+        deadline = request.route.deadline_ms / MILLISECONDS
+        return Progress(room, wait_until, wait_until + deadline)
+
+    async def try_once(
+        self,
+        request: call.Call,
+        progress: Progress,
+    ) -> answer.Answer:
+        """Wait for a target and make one attempt there.
+
+        Raises:
+            AttemptFailedError: If it gave no whole answer.
+            RefusedError: If there was no room in time.
+        """
+        chosen = await self.wait(request, progress)
+        number = next(self.numbers)
+        running = attempt.Attempt(f'{self.prefix}-{number}')
+        slow = progress.room.pool.slow_seconds(request.route.name)
+        started = clock.monotonic()
+        self.running[number] = Running(chosen, started, started + slow)
+        seconds = self.attempt_seconds(request, progress, slow)
+        try:
+            received = await self.client(chosen, progress).send(
+                target_client.Sending(
+                    request.head.method,
+                    request.head.url,
+                    headers.forward(request.head),
+                    request.body,
+                    seconds,
+                    running,
+                ),
+            )
+        except attempt.AttemptFailedError as error:
+            self.note_failure(number, progress, error)
+            raise
+        finally:
+            progress.room.release(chosen)
+            self.running.pop(number, None)
+        self.note_answer(request, progress, received, chosen, started)
+        return received
+
+    async def wait(self, request: call.Call, progress: Progress) -> view.View:
+        """Wait for a target with room.
+
+        Raises:
+            RefusedError: If there was none in time; the code keeps to the
+                truth about earlier attempts.
+        """
+        try:
+            return await self.acquire(request, progress)
+        except errors.RefusedError as error:
+            if progress.may_have_run:
+                raise errors.RefusedError(codes.ANSWER_BROKEN) from error
+            raise
+
+    async def acquire(
+        self,
+        request: call.Call,
+        progress: Progress,
+    ) -> view.View:
+        """Wait for a target; the key is checked again after the wait.
+
+        Raises:
+            RefusedError: If there is no room or the key was withdrawn.
+        """
+        patience = progress.wait_until - clock.monotonic()
+        chosen = await progress.room.acquire(
+            request.account_name,
+            request.weight,
+            max(0, patience),
+            progress.excluded,
+        )
+        try:
+            request.check_access()
+        except errors.RefusedError:
+            progress.room.release(chosen)
+            raise
+        return chosen
+
+    def attempt_seconds(
+        self,
+        request: call.Call,
+        progress: Progress,
+        slow: float,
+    ) -> float:
+        """Return the limit of one attempt.
+
+        A read is cut early while it can still be tried elsewhere.
+        """
+        now = clock.monotonic()
+        deadline = request.route.deadline_ms / MILLISECONDS
+        remaining = min(deadline, progress.run_until - now)
+        baseline = progress.room.pool.baseline(request.route.name)
+        usual = len(baseline.samples) >= ENOUGH_SAMPLES
+        last = progress.tries + 1 >= self.settings.attempts
+        if usual and not last and can_repeat(request):
+            return min(remaining, slow * CUT_FACTOR)
+        return max(0, remaining)
+
+    def client(
+        self,
+        chosen: view.View,
+        progress: Progress,
+    ) -> target_client.TargetClient:
+        """Return the client of a target."""
+        place = chosen.target
+        base = f'http://{place.address}:{place.port}'
+        held = self.clients.get(base)
+        if held is None:
+            service = progress.room.pool.service
+            fair = service.connections // max(1, self.daemons)
+            held = target_client.TargetClient(
+                base,
+                self.settings.connect_seconds,
+                max(fair, service.slots),
+                service.echo,
+            )
+            self.clients[base] = held
+        return held
+
+    def note_failure(
+        self,
+        number: int,
+        progress: Progress,
+        error: attempt.AttemptFailedError,
+    ) -> None:
+        """Take a failed attempt as evidence, unless it was before."""
+        running = self.running[number]
+        self.counters.add('attempt_faults', error.fault.value)
+        if error.fault is not Fault.REFUSED:
+            progress.excluded.add(running.view.target.name)
+        if not running.noted:
+            running.view.record(RESULTS[error.fault], clock.monotonic())
+
+    def note_answer(
+        self,
+        request: call.Call,
+        progress: Progress,
+        received: answer.Answer,
+        chosen: view.View,
+        started: float,
+    ) -> None:
+        """Take an answer as evidence."""
+        now = clock.monotonic()
+        seconds = now - started
+        name = request.route.name
+        slow = seconds > progress.room.pool.slow_seconds(name)
+        progress.room.pool.baseline(name).add(seconds)
+        seen = result.Result.SLOW if slow else result.Result.GOOD
+        if received.status >= SERVER_ERROR:
+            seen = result.Result.ERROR
+        chosen.record(seen, now)
+        note_hints(received, chosen, now)
+
+    def note_stalls(self, now: float) -> None:
+        """Note attempts in flight that take too long."""
+        for running in self.running.values():
+            if now > running.slow_at and not running.noted:
+                running.noted = True
+                running.view.record(result.Result.STALL, now)
+
+    def consider(
+        self,
+        request: call.Call,
+        progress: Progress,
+        error: attempt.AttemptFailedError,
+    ) -> None:
+        """Decide whether a failed request is tried again.
+
+        Raises:
+            RefusedError: If it is not.
+        """
+        if not error.not_run:
+            progress.may_have_run = True
+        legal = request.is_replayable and (
+            error.not_run or request.route.idempotent
+        )
+        if error.fault is Fault.REFUSED and legal:
+            return
+        progress.tries += 1
+        if not (legal and self.may_retry(request, progress)):
+            raise refusal(progress, error)
+
+    def may_retry(self, request: call.Call, progress: Progress) -> bool:
+        """Tell whether bounds and budget leave another attempt."""
+        if progress.tries >= self.settings.attempts:
+            return False
+        if clock.monotonic() >= progress.wait_until:
+            return False
+        return self.budget.take(request.account_name)
+
+    def wants_better(
+        self,
+        request: call.Call,
+        progress: Progress,
+        received: answer.Answer,
+    ) -> bool:
+        """Tell whether an error answer to a read is tried elsewhere."""
+        if received.status < SERVER_ERROR or received.stream is not None:
+            return False
+        if not can_repeat(request):
+            return False
+        progress.tries += 1
+        progress.may_have_run = True
+        return self.may_retry(request, progress)
+
+    async def close(self) -> None:
+        """Close the connections to all targets."""
+        closing = (client.close() for client in self.clients.values())
+        await asyncio.gather(*closing)
+
+
+def can_repeat(request: call.Call) -> bool:
+    """Tell whether a request may run more than once."""
+    return request.route.idempotent and request.is_replayable
+
+
+def refusal(
+    progress: Progress,
+    error: attempt.AttemptFailedError,
+) -> errors.RefusedError:
+    """Return the truthful refusal after the last attempt."""
+    code = CODES[error.fault]
+    if progress.may_have_run and error.not_run:
+        code = codes.ANSWER_BROKEN
+    return errors.RefusedError(code, error.detail)
+
+
+def note_hints(received: answer.Answer, chosen: view.View, now: float) -> None:
+    """Take in what the answer says of the target's load and draining."""
+    for name, value in received.headers:
+        if name == b'x-load':
+            chosen.note_load(read_load(value))
+        elif name == b'x-draining':
+            chosen.note_draining(now)
+
+
+def read_load(value: bytes) -> float:
+    """Read a reported load; a malformed one counts as none."""
+    return int(value) if value.isdigit() else 0
--- /dev/null
+++ b/sapphirepaddle/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of client accounts over all VMs."""
--- /dev/null
+++ b/sapphirepaddle/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects held by the platform."""
--- /dev/null
+++ b/sapphirepaddle/objects/service.py
@@ -0,0 +1,35 @@
+"""Services: groups of interchangeable targets."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from sapphirepaddle.objects import kinds
+
+MOST_SLOTS: typing.Final = 10000
+
+
+@kinds.register('service')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A service and what holds for each of its targets.
+
+    Attributes:
+        name: Unique name.
+        slots: Requests that one target runs at a time.
+        floor: Share of all slots that stays in the routing set.
+        connections: Connections that one target accepts from all VMs.
+        probe_path: Path of the health endpoint of a target.
+        echo: Whether answers carry the request identifier and are refused
+            without it.
+    """
+
+    __pydantic_config__ = pydantic.ConfigDict(extra='forbid')
+
+    name: kinds.Name
+    slots: typing.Annotated[int, pydantic.Field(ge=1, le=MOST_SLOTS)]
+    floor: typing.Annotated[float, pydantic.Field(ge=0, le=1)] = 0.5
+    connections: typing.Annotated[int, pydantic.Field(ge=1)] = 330
+    probe_path: typing.Annotated[str, pydantic.Field(pattern='^/')] = '/health'
+    echo: bool = False
--- /dev/null
+++ b/sapphirepaddle/objects/target.py
@@ -0,0 +1,34 @@
+"""Targets: the instances that run requests."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from sapphirepaddle.objects import kinds
+
+HIGHEST_PORT: typing.Final = 65535
+
+
+@kinds.register('target')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """One instance of a service.
+
+    Attributes:
+        name: Unique name.
+        service: Name of its service.
+        zone: Name of its availability zone.
+        address: IP address.
+        port: TCP port.
+        state: Whether it takes new work.
+    """
+
+    __pydantic_config__ = pydantic.ConfigDict(extra='forbid')
+
+    name: kinds.Name
+    service: kinds.Name
+    zone: kinds.Name
+    address: str
+    port: typing.Annotated[int, pydantic.Field(ge=1, le=HIGHEST_PORT)]
+    state: typing.Literal['active', 'draining'] = 'active'
--- /dev/null
+++ b/sapphirepaddle/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Intents, plans and the operators HTTP API."""
--- /dev/null
+++ b/sapphirepaddle/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, connections and news between daemons."""
--- /dev/null
+++ b/sapphirepaddle/platform/memory.py
@@ -0,0 +1,110 @@
+"""Object store in memory: for tests and the platform stand-in."""
+
+import asyncio
+import itertools
+
+from sapphirepaddle import errors
+from sapphirepaddle.platform import store, stored, vm
+
+PAGE_OBJECTS = 500
+
+
+class MemoryStore(store.ObjectStore):
+    """Objects in a dictionary.
+
+    Attributes:
+        objects: Stored objects by key, deleted ones included.
+        version: Version of the last write.
+        vms: The list of VMs.
+        changed: Condition notified at each write.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.objects: dict[str, stored.Stored] = {}
+        self.version = 0
+        self.vms: list[vm.Vm] = []
+        self.changed = asyncio.Condition()
+
+    async def read(self, key: str) -> stored.Stored | None:
+        """Return the object, or None if it does not exist."""
+        found = self.objects.get(key)
+        return found if found and found.body is not None else None
+
+    async def write(
+        self,
+        key: str,
+        body: bytes,
+        expected: int,
+    ) -> stored.Stored:
+        """Write the object if it has the expected version."""
+        return await self.store(key, body, expected)
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Delete the object if it has the expected version."""
+        await self.store(key, None, expected)
+
+    async def store(
+        self,
+        key: str,
+        body: bytes | None,
+        expected: int,
+    ) -> stored.Stored:
+        """Check the version, store and notify waiting watches.
+
+        Raises:
+            VersionConflictError: If the object has another version.
+        """
+        held = await self.read(key)
+        version = held.version if held else 0
+        if version != expected:
+            raise errors.VersionConflictError(f'{key}: {version}')
+        self.version += 1
+        entry = stored.Stored(key, body, self.version)
+        self.objects.pop(key, None)
+        self.objects[key] = entry
+        async with self.changed:
+            self.changed.notify_all()
+        return entry
+
+    async def select(self, prefix: str, after: str) -> list[stored.Stored]:
+        """Return a page of objects under a prefix, ordered by key."""
+        found = sorted(
+            (
+                entry
+                for entry in self.objects.values()
+                if entry.key.startswith(prefix)
+                and entry.key > after
+                and entry.body is not None
+            ),
+            key=lambda entry: entry.key,
+        )
+        return found[:PAGE_OBJECTS]
+
+    def newer(self, prefix: str, since: int) -> list[stored.Stored]:
+        """Return objects under a prefix newer than a version, in order."""
+        recent = itertools.takewhile(
+            lambda entry: entry.version > since,
+            reversed(self.objects.values()),
+        )
+        found = [entry for entry in recent if entry.key.startswith(prefix)]
+        found.reverse()
+        return found
+
+    async def watch(
+        self,
+        prefix: str,
+        since: int,
+        timeout: float,
+    ) -> list[stored.Stored]:
+        """Wait for objects under a prefix that are newer than a version."""
+        try:
+            async with asyncio.timeout(timeout), self.changed:
+                await self.changed.wait_for(lambda: self.newer(prefix, since))
+        except TimeoutError:
+            return []
+        return self.newer(prefix, since)
+
+    async def list_vms(self) -> list[vm.Vm]:
+        """Return the list of VMs."""
+        return list(self.vms)
--- /dev/null
+++ b/sapphirepaddle/platform/remote.py
@@ -0,0 +1,171 @@
+"""Object store over the platform's HTTP API."""
+
+import asyncio
+import base64
+import typing
+from urllib import parse as urls
+
+import aiosonic
+import orjson
+from aiosonic import exceptions
+from aiosonic import timeout as timeouts
+
+from sapphirepaddle import errors
+from sapphirepaddle.platform import store, stored, vm
+
+HTTP_OK: typing.Final = 200
+HTTP_MISSING: typing.Final = 404
+HTTP_CONFLICT: typing.Final = 409
+NO_TIMEOUTS: typing.Final = timeouts.Timeouts(None, None, None, None)
+FAILURES: typing.Final = (
+    exceptions.AiosonicError,
+    asyncio.IncompleteReadError,
+    TimeoutError,
+    OSError,
+    ValueError,
+)
+
+
+class RemoteStore(store.ObjectStore):
+    """Objects behind the platform's HTTP API.
+
+    Attributes:
+        url: Base URL of the API.
+        call_seconds: Limit of one call in seconds.
+        client: The HTTP client.
+        calls: Calls made so far, waiting watches included.
+    """
+
+    def __init__(self, url: str, call_seconds: float) -> None:
+        """Store the address and the limit of a call."""
+        self.url = url
+        self.call_seconds = call_seconds
+        self.client = aiosonic.HTTPClient()
+        self.calls = 0
+
+    async def read(self, key: str) -> stored.Stored | None:
+        """Return the object, or None if it does not exist."""
+        answer = await self.call('GET', f'/objects/{urls.quote(key)}')
+        if answer.status == HTTP_MISSING:
+            return None
+        return parse_stored(answer.json())
+
+    async def write(
+        self,
+        key: str,
+        body: bytes,
+        expected: int,
+    ) -> stored.Stored:
+        """Write the object if it has the expected version."""
+        path = f'/objects/{urls.quote(key)}?expected={expected}'
+        answer = await self.call('POST', path, body)
+        return parse_stored(answer.json())
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Delete the object if it has the expected version."""
+        path = f'/objects/{urls.quote(key)}?expected={expected}'
+        await self.call('DELETE', path)
+
+    async def select(self, prefix: str, after: str) -> list[stored.Stored]:
+        """Return a page of objects under a prefix, ordered by key."""
+        query = urls.urlencode({'prefix': prefix, 'after': after})
+        answer = await self.call('GET', f'/objects?{query}')
+        return [parse_stored(entry) for entry in answer.json()]
+
+    async def watch(
+        self,
+        prefix: str,
+        since: int,
+        timeout: float,
+    ) -> list[stored.Stored]:
+        """Wait for objects under a prefix that are newer than a version."""
+        query = urls.urlencode(
+            {'prefix': prefix, 'since': since, 'timeout': timeout},
+        )
+        answer = await self.call('GET', f'/watch?{query}', extra=timeout)
+        return [parse_stored(entry) for entry in answer.json()]
+
+    async def list_vms(self) -> list[vm.Vm]:
+        """Return the lagging list of VMs."""
+        answer = await self.call('GET', '/vms')
+        try:
+            return vm.LIST.validate_json(answer.body)
+        except ValueError as error:
+            raise errors.PlatformUnavailableError('list of VMs') from error
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.client.aclose()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        extra: float = 0,
+    ) -> 'Reply':
+        """Make one call.
+
+        Raises:
+            VersionConflictError: If the platform states a conflict.
+            PlatformUnavailableError: If it does not answer or answers
+                with an error.
+        """
+        self.calls += 1
+        try:
+            async with asyncio.timeout(self.call_seconds + extra):
+                reply = await self.exchange(method, path, body)
+        except FAILURES as error:
+            raise errors.PlatformUnavailableError(str(error)) from error
+        if reply.status == HTTP_CONFLICT:
+            raise errors.VersionConflictError(path)
+        if reply.status not in {HTTP_OK, HTTP_MISSING}:
+            raise errors.PlatformUnavailableError(f'status {reply.status}')
+        return reply
+
+    async def exchange(self, method: str, path: str, body: bytes) -> 'Reply':
+        """Send one request and read its answer."""
+        answer = await self.client.request(
+            f'{self.url}{path}',
+            method,
+            data=body or None,
+            timeouts=NO_TIMEOUTS,
+        )
+        return Reply(answer.status_code, await answer.content())
+
+
+class Reply:
+    """Status and body of one call."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        """Store both."""
+        self.status = status
+        self.body = body
+
+    def json(self) -> typing.Any:
+        """Return the decoded body.
+
+        Raises:
+            PlatformUnavailableError: If it is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise errors.PlatformUnavailableError('not JSON') from error
+
+
+def parse_stored(entry: typing.Any) -> stored.Stored:
+    """Read a stored object from decoded JSON.
+
+    Raises:
+        PlatformUnavailableError: If a field is missing.
+    """
+    try:
+        body = entry['body']
+    except (KeyError, TypeError) as error:
+        raise errors.PlatformUnavailableError('malformed object') from error
+    return stored.Stored(
+        str(entry.get('key')),
+        None if body is None else base64.b64decode(body),
+        int(entry.get('version', 0)),
+    )
--- /dev/null
+++ b/sapphirepaddle/platform/vm.py
@@ -0,0 +1,28 @@
+"""Entries of the platform's list of VMs."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Vm:
+    """One VM of the fleet as the platform lists it.
+
+    Attributes:
+        name: Unique name of the VM.
+        zone: Name of its availability zone.
+        address: IP address of its peer listener.
+        port: TCP port of its peer listener.
+        state: Whether it lives or is leaving.
+    """
+
+    name: str
+    zone: str
+    address: str
+    port: int
+    state: typing.Literal['live', 'leaving'] = 'live'
+
+
+LIST: typing.Final = pydantic.TypeAdapter(list[Vm])
--- /dev/null
+++ b/sapphirepaddle/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against stated outcomes."""
--- /dev/null
+++ b/sapphirepaddle/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence, health, floor and choice of targets."""
--- /dev/null
+++ b/sapphirepaddle/routing/judge.py
@@ -0,0 +1,225 @@
+"""Judging targets from the evidence of several daemons."""
+
+import dataclasses
+import typing
+from collections import abc
+
+import transitions
+
+from sapphirepaddle.routing import report, tally, verdict
+from sapphirepaddle.settings import entry
+
+Standing = verdict.Standing
+
+MACHINE: typing.Final = transitions.Machine(
+    model=None,
+    states=[standing.value for standing in Standing],
+    initial=Standing.HEALTHY.value,
+    auto_transitions=False,
+    transitions=[
+        ['eject', Standing.HEALTHY.value, Standing.EJECTED.value],
+        ['eject', Standing.RETURNING.value, Standing.EJECTED.value],
+        ['release', Standing.EJECTED.value, Standing.RETURNING.value],
+        ['settle', Standing.RETURNING.value, Standing.HEALTHY.value],
+    ],
+)
+"""States of a target in the eyes of its judge."""
+
+LASTING_FACTOR: typing.Final = 4
+"""Relapses are forgotten after this many return times in health."""
+
+
+@dataclasses.dataclass(slots=True)
+class Observer:
+    """What one daemon saw of a target.
+
+    Attributes:
+        zone: Availability zone of the daemon.
+        window: Its counts over the sliding window.
+    """
+
+    zone: str
+    window: tally.Window
+
+
+class Case:
+    """All that a judge knows of one target.
+
+    Attributes:
+        state: State of the target in the machine.
+        verdict: The verdict in force.
+        since: Time of the last change of state.
+        observers: What each daemon saw.
+    """
+
+    def __init__(self, held: verdict.Verdict, now: float) -> None:
+        """Take up a target at the verdict in force."""
+        self.state = held.standing.value
+        self.verdict = held
+        self.since = now
+        self.observers: dict[str, Observer] = {}
+
+    def fire(self, trigger: str) -> None:
+        """Move to the next state."""
+        MACHINE.events[trigger].trigger(self)
+
+
+class Judge:
+    """Judges targets; pure, the time is passed in.
+
+    Attributes:
+        vm: Name of the judging VM.
+        settings: Thresholds.
+        cases: What is known by target.
+    """
+
+    def __init__(self, vm: str, settings: entry.Routing) -> None:
+        """Start without cases."""
+        self.vm = vm
+        self.settings = settings
+        self.cases: dict[str, Case] = {}
+
+    def add(
+        self,
+        seen: report.Report,
+        held: verdict.Verdict,
+        now: float,
+    ) -> None:
+        """Take in one report.
+
+        Args:
+            seen: The report.
+            held: The verdict in force on its target.
+            now: Seconds on the monotonic clock.
+        """
+        case = self.cases.get(seen.target)
+        if case is None or case.verdict.epoch < held.epoch:
+            case = Case(held, now)
+            self.cases[seen.target] = case
+        observer = case.observers.get(seen.observer)
+        if observer is None:
+            window = tally.Window(self.settings.window_seconds)
+            observer = Observer(seen.zone, window)
+            case.observers[seen.observer] = observer
+        observer.window.add(now, seen.counts)
+
+    def decide(self, now: float, daemons: int) -> list[verdict.Verdict]:
+        """Return the verdicts that change at this time.
+
+        Args:
+            now: Seconds on the monotonic clock.
+            daemons: Daemons that live.
+        """
+        changed = (
+            self.review(case, now, daemons) for case in self.cases.values()
+        )
+        return [fresh for fresh in changed if fresh is not None]
+
+    def review(
+        self,
+        case: Case,
+        now: float,
+        daemons: int,
+    ) -> verdict.Verdict | None:
+        """Review one target and return its new verdict, if it changes."""
+        if case.state == Standing.EJECTED.value:
+            return self.release(case, now)
+        if self.is_faulty(case, now, daemons):
+            return self.eject(case, now)
+        if case.state == Standing.RETURNING.value:
+            return self.settle(case, now)
+        return None
+
+    def is_faulty(self, case: Case, now: float, daemons: int) -> bool:
+        """Tell whether several independent observers saw a fault."""
+        sums = {
+            name: observer.window.sum(now)
+            for name, observer in case.observers.items()
+        }
+        total = tally.Tally()
+        for counts in sums.values():
+            total.add(counts)
+        witnesses = {
+            name
+            for name, counts in sums.items()
+            if counts.bad and counts.share >= self.settings.bad_share
+        }
+        return (
+            total.bad >= self.settings.least_bad
+            and total.share >= self.settings.bad_share
+            and len(witnesses) >= min(self.settings.observers, daemons)
+            and not self.is_path_fault(case, sums, witnesses)
+        )
+
+    def is_path_fault(
+        self,
+        case: Case,
+        sums: abc.Mapping[str, tally.Tally],
+        witnesses: abc.Set[str],
+    ) -> bool:
+        """Tell whether only one zone sees the fault and another does not."""
+        zones = {case.observers[name].zone for name in witnesses}
+        contrary = any(
+            counts.good > counts.bad and case.observers[name].zone not in zones
+            for name, counts in sums.items()
+        )
+        return len(zones) == 1 and contrary
+
+    def eject(self, case: Case, now: float) -> verdict.Verdict:
+        """Eject a target, longer at each relapse."""
+        lasting = self.settings.return_seconds * LASTING_FACTOR
+        relapse = case.verdict.epoch > 0 and (
+            case.state == Standing.RETURNING.value or now - case.since < lasting
+        )
+        relapses = case.verdict.relapses + 1 if relapse else 0
+        witnesses = sorted(
+            name
+            for name, observer in case.observers.items()
+            if observer.window.sum(now).bad
+        )
+        case.fire('eject')
+        reason = f'seen by {", ".join(witnesses)}'
+        return self.pronounce(case, now, relapses, reason)
+
+    def eject_seconds(self, case: Case) -> float:
+        """Return the length of the present ejection."""
+        first = self.settings.eject_seconds
+        doubled = first * 2 ** min(case.verdict.relapses, BIT_LIMIT)
+        return min(doubled, self.settings.most_eject_seconds)
+
+    def release(self, case: Case, now: float) -> verdict.Verdict | None:
+        """Let a target return when its ejection is over."""
+        if now - case.since < self.eject_seconds(case):
+            return None
+        case.fire('release')
+        return self.pronounce(case, now, case.verdict.relapses, 'time over')
+
+    def settle(self, case: Case, now: float) -> verdict.Verdict | None:
+        """Call a returning target healthy when its return is over."""
+        if now - case.since < self.settings.return_seconds:
+            return None
+        case.fire('settle')
+        return self.pronounce(case, now, case.verdict.relapses, 'returned')
+
+    def pronounce(
+        self,
+        case: Case,
+        now: float,
+        relapses: int,
+        reason: str,
+    ) -> verdict.Verdict:
+        """Make the verdict for the state that was entered."""
+        case.since = now
+        case.observers.clear()
+        case.verdict = verdict.Verdict(
+            target=case.verdict.target,
+            epoch=case.verdict.epoch + 1,
+            standing=Standing(case.state),
+            relapses=relapses,
+            reason=reason,
+            judge=self.vm,
+        )
+        return case.verdict
+
+
+BIT_LIMIT: typing.Final = 16
--- /dev/null
+++ b/sapphirepaddle/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the settings files."""
--- /dev/null
+++ b/sapphirepaddle/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the targets."""
--- /dev/null
+++ b/sapphirepaddle/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/sapphirepaddle/telemetry/writer.py
@@ -0,0 +1,60 @@
+"""Writing of log lines without blocking the event loop."""
+
+import queue
+import sys
+import threading
+import typing
+
+MOST_LINES: typing.Final = 10000
+FLUSH_SECONDS: typing.Final = 2
+
+
+class LineWriter:
+    """Writes lines to a stream from a thread of its own.
+
+    Lines beyond the bound are dropped and counted, so that a blocked
+    stream never blocks a request.
+
+    Attributes:
+        stream: Where lines go.
+        lines: Lines not yet written; None ends the thread.
+        dropped: Lines dropped so far.
+        thread: The writing thread.
+    """
+
+    def __init__(self, stream: typing.TextIO) -> None:
+        """Start the thread."""
+        self.stream = stream
+        self.lines: queue.Queue[str | None] = queue.Queue(MOST_LINES)
+        self.dropped = 0
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def msg(self, message: str) -> None:
+        """Queue one line; the name is what structlog calls."""
+        try:
+            self.lines.put_nowait(message)
+        except queue.Full:
+            self.dropped += 1
+
+    def run(self) -> None:
+        """Write lines until the end mark."""
+        for line in iter(self.lines.get, None):
+            self.stream.write(f'{line}\n')
+            if self.lines.empty():
+                self.stream.flush()
+
+    def close(self) -> None:
+        """Write what is queued and end the thread."""
+        self.lines.put(None)
+        self.thread.join(FLUSH_SECONDS)
+
+    info = msg  # noqa: WPS115
+    warning = msg  # noqa: WPS115
+    error = msg  # noqa: WPS115
+    debug = msg  # noqa: WPS115
+
+
+def standard() -> LineWriter:
+    """Return a writer to standard output."""
+    return LineWriter(sys.stdout)
