Add peers, quota leases, order claims, evidence and the daemon's life

Cause: daemons were alone. They now share configuration, membership, news, quota, claims and evidence over authenticated Cap'n Proto frames. Ruled out: packed Cap'n Proto messages. Also found: a listening socket without a stated protocol leaves small writes delayed by about 40 ms; stated now.

--- /dev/null
+++ b/sapphirepaddle/claims/committer.py
@@ -0,0 +1,104 @@
+"""Group commit: many records of a shard in one write."""
+
+import asyncio
+import dataclasses
+import typing
+
+from sapphirepaddle import clock, errors
+from sapphirepaddle.claims import record, shard_log
+
+PRUNE_SECONDS: typing.Final = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A record that waits for its commit.
+
+    Attributes:
+        record: The record.
+        decided: Gets the decision.
+    """
+
+    record: record.Record
+    decided: 'asyncio.Future[shard_log.Decision]'
+
+
+class Committer:
+    """Commits the records of one shard, one write at a time.
+
+    Attributes:
+        log: The shard's log.
+        commit_seconds: Time over which records are gathered.
+        queue: Records that wait.
+        task: The running commits, while there are any.
+        pruned_at: Unix time of the last look for old segments.
+    """
+
+    def __init__(
+        self,
+        log: shard_log.ShardLog,
+        commit_seconds: float,
+    ) -> None:
+        """Start with nothing to commit."""
+        self.log = log
+        self.commit_seconds = commit_seconds
+        self.queue: list[Proposal] = []
+        self.task: asyncio.Task[None] | None = None
+        self.pruned_at = clock.wall()
+
+    async def commit(self, proposed: record.Record) -> shard_log.Decision:
+        """Commit one record together with others.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        loop = asyncio.get_running_loop()
+        proposal = Proposal(proposed, loop.create_future())
+        self.queue.append(proposal)
+        if self.task is None or self.task.done():
+            self.task = loop.create_task(self.run())
+        return await proposal.decided
+
+    async def run(self) -> None:
+        """Commit until nothing waits."""
+        while self.queue:
+            await asyncio.sleep(self.commit_seconds)
+            batch = [
+                proposal
+                for proposal in self.queue
+                if not proposal.decided.done()
+            ]
+            self.queue = []
+            await self.commit_batch(batch)
+
+    async def commit_batch(self, batch: list[Proposal]) -> None:
+        """Commit some records and tell those who wait."""
+        now = clock.wall()
+        try:
+            decisions = await self.log.commit(
+                [proposal.record for proposal in batch],
+                now,
+            )
+        except errors.PlatformError as error:
+            fail(batch, error)
+            return
+        for proposal, decision in zip(batch, decisions):
+            if not proposal.decided.done():
+                proposal.decided.set_result(decision)
+        if now - self.pruned_at > PRUNE_SECONDS:
+            self.pruned_at = now
+            await self.prune(now)
+
+    async def prune(self, now: float) -> None:
+        """Delete old segments; a silent platform is tried again later."""
+        try:
+            await self.log.prune(now)
+        except errors.PlatformError:
+            self.pruned_at = now
+
+
+def fail(batch: list[Proposal], error: errors.PlatformError) -> None:
+    """Tell those who wait that the platform is silent."""
+    for proposal in batch:
+        if not proposal.decided.done():
+            proposal.decided.set_exception(error)
--- /dev/null
+++ b/sapphirepaddle/claims/shard_log.py
@@ -0,0 +1,318 @@
+"""The log of one shard of claims in the platform.
+
+Records are only ever added, by conditional updates of the newest segment.
+So all writers of a shard agree on one order of records, whoever they are:
+the first claim of a key stands, and any other writer sees it.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from sapphirepaddle import errors
+from sapphirepaddle.claims import record, segment
+from sapphirepaddle.platform import store
+
+State = record.State
+ATTEMPTS: typing.Final = 8
+OPENING: typing.Final = frozenset((State.CLAIMED, State.RELEASED))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """Where the newest record of a key stands.
+
+    Attributes:
+        state: Its state.
+        token: Its token.
+        fingerprint: Its fingerprint.
+        at: Its time.
+        segment: Number of its segment.
+    """
+
+    state: State
+    token: str
+    fingerprint: str
+    at: float
+    segment: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """What became of a proposed record.
+
+    Attributes:
+        accepted: Whether it stands.
+        held: The entry that stands instead, if it does not.
+    """
+
+    accepted: bool
+    held: Entry | None = None
+
+
+class ShardLog:
+    """One shard's records.
+
+    Attributes:
+        shard: Number of the shard.
+        store: The platform.
+        segment_bytes: Size from which a new segment is started.
+        retention: Seconds for which a key is remembered.
+        index: Newest record by key.
+        head: The newest segment.
+        number: Its number.
+        version: Its version; 0 before it is created.
+        newest: Time of the newest record by segment.
+        is_loaded: Whether the index holds all that the platform holds.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        objects: store.ObjectStore,
+        segment_bytes: int,
+        retention: float,
+    ) -> None:
+        """Start empty; the log is loaded at the first commit."""
+        self.shard = shard
+        self.store = objects
+        self.segment_bytes = segment_bytes
+        self.retention = retention
+        self.index: dict[str, Entry] = {}
+        self.head = segment.Segment()
+        self.number = 1
+        self.version = 0
+        self.newest: dict[int, float] = {}
+        self.is_loaded = False
+
+    async def load(self) -> None:
+        """Read all segments.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        self.index.clear()
+        self.head = segment.Segment()
+        self.number = 1
+        self.version = 0
+        last = segment.prefix_of(self.shard)
+        while True:
+            page = await self.store.select(
+                segment.prefix_of(self.shard),
+                last,
+            )
+            if not page:
+                break
+            for held in page:
+                self.take_up(held.key, held.body or b'', held.version)
+            last = page[-1].key
+        self.roll()
+        self.is_loaded = True
+
+    async def refresh(self) -> None:
+        """Read what other writers added.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        while True:
+            key = segment.key_of(self.shard, self.number)
+            held = await self.store.read(key)
+            if held is None or held.version == self.version:
+                return
+            self.take_up(key, held.body or b'', held.version)
+            if not self.head.sealed:
+                return
+            self.roll()
+
+    def take_up(self, key: str, body: bytes, version: int) -> None:
+        """Take up one segment."""
+        self.number = int(key.rpartition('/')[2])
+        self.head = segment.ADAPTER.validate_json(body)
+        self.version = version
+        for entry in self.head.records:
+            self.note(entry)
+
+    def roll(self) -> None:
+        """Go on to the next segment after a sealed one."""
+        if self.head.sealed:
+            self.number += 1
+            self.head = segment.Segment()
+            self.version = 0
+
+    def note(self, entry: record.Record) -> None:
+        """Index one record."""
+        self.newest[self.number] = entry.at
+        self.index[entry.key] = entry_of(entry, self.number)
+
+    def decide(
+        self,
+        proposed: record.Record,
+        held: Entry | None,
+        now: float,
+    ) -> Decision:
+        """Decide on one record after the one that stands.
+
+        A release of a claim that never arrived stands too, so that the
+        claim cannot arrive later.
+
+        Args:
+            proposed: The record.
+            held: The entry that stands for its key.
+            now: Unix time in seconds.
+        """
+        if held is None or held.at < now - self.retention:
+            return Decision(proposed.state in OPENING, held)
+        if held.token == proposed.token:
+            return self.decide_own(proposed, held)
+        free = held.state is State.RELEASED
+        return Decision(free and proposed.state is State.CLAIMED, held)
+
+    def decide_own(
+        self,
+        proposed: record.Record,
+        held: Entry,
+    ) -> Decision:
+        """Decide on a later step of the claim that stands.
+
+        A step that stands already was written before its answer was lost.
+        """
+        if proposed.state is held.state:
+            return Decision(accepted=True)
+        return Decision(held.state is State.CLAIMED, held)
+
+    async def commit(
+        self,
+        proposed: abc.Sequence[record.Record],
+        now: float,
+    ) -> list[Decision]:
+        """Add those of some records that may stand.
+
+        Args:
+            proposed: The records in order.
+            now: Unix time in seconds.
+
+        Returns:
+            What became of each.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer; the
+                records may stand all the same, and a repeated commit of
+                the same records tells.
+        """
+        if not self.is_loaded:
+            await self.load()
+        for _ in range(ATTEMPTS):
+            decisions, added = self.decide_all(proposed, now)
+            if not added:
+                return decisions
+            try:
+                await self.write(added)
+            except errors.VersionConflictError:
+                await self.refresh()
+                continue
+            except errors.PlatformUnavailableError:
+                self.is_loaded = False
+                raise
+            return decisions
+        raise errors.PlatformUnavailableError('too many writers')
+
+    def decide_all(
+        self,
+        proposed: abc.Sequence[record.Record],
+        now: float,
+    ) -> tuple[list[Decision], list[record.Record]]:
+        """Decide on records in order, each after those before it."""
+        fresh: dict[str, Entry] = {}
+        decisions: list[Decision] = []
+        added: list[record.Record] = []
+        for entry in proposed:
+            held = fresh.get(entry.key) or self.index.get(entry.key)
+            decision = self.decide(entry, held, now)
+            decisions.append(decision)
+            if decision.accepted and not stands(entry, held):
+                added.append(entry)
+                fresh[entry.key] = entry_of(entry, self.number)
+        return decisions, added
+
+    async def write(self, added: abc.Sequence[record.Record]) -> None:
+        """Add records to the newest segment by a conditional update.
+
+        Raises:
+            VersionConflictError: If another writer was first.
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        longer = segment.Segment(records=(*self.head.records, *added))
+        body = longer.encode()
+        if len(body) > self.segment_bytes:
+            longer = dataclasses.replace(longer, sealed=True)
+            body = longer.encode()
+        written = await self.store.write(
+            segment.key_of(self.shard, self.number),
+            body,
+            self.version,
+        )
+        self.head = longer
+        self.version = written.version
+        for entry in added:
+            self.note(entry)
+        self.roll()
+
+    async def find(self, key: str) -> record.Record | None:
+        """Return the newest record of a key with its outcome.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        entry = self.index.get(key)
+        if entry is None:
+            return None
+        held = await self.store.read(
+            segment.key_of(self.shard, entry.segment),
+        )
+        if held is None or held.body is None:
+            return None
+        records = segment.ADAPTER.validate_json(held.body).records
+        matching = [found for found in records if found.key == key]
+        return matching[-1] if matching else None
+
+    async def prune(self, now: float) -> None:
+        """Delete sealed segments past the retention.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        limit = now - self.retention
+        old = [
+            number
+            for number, newest in self.newest.items()
+            if newest < limit and number < self.number
+        ]
+        for number in old:
+            key = segment.key_of(self.shard, number)
+            held = await self.store.read(key)
+            if held is not None:
+                await self.store.delete(key, held.version)
+            self.newest.pop(number)
+        self.index = {
+            key: entry for key, entry in self.index.items() if entry.at >= limit
+        }
+
+
+def entry_of(entry: record.Record, number: int) -> Entry:
+    """Return the index entry of a record in a segment."""
+    return Entry(
+        entry.state,
+        entry.token,
+        entry.fingerprint,
+        entry.at,
+        number,
+    )
+
+
+def stands(entry: record.Record, held: Entry | None) -> bool:
+    """Tell whether a record stands already."""
+    return held is not None and (held.token, held.state) == (
+        entry.token,
+        entry.state,
+    )
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -1,27 +1,28 @@
-"""The entry daemon: all its parts and its life from start to stop."""
+"""The entry daemon's life from start to planned stop."""
 
 import asyncio
-import random
+import contextlib
+import socket
 import typing
+from collections import abc
 
 import transitions
 
-from sapphirepaddle import clock, errors
-from sapphirepaddle.gateway import (
-    app,
-    caller_connection,
-    dispatch,
-    http_server,
-    in_force,
-    limiter,
-)
-from sapphirepaddle.objects import change
-from sapphirepaddle.platform import change_log, remote
-from sapphirepaddle.routing import table
-from sapphirepaddle.settings import entry
+from sapphirepaddle import clock, parts
+from sapphirepaddle.gateway import caller_connection, http_server
+from sapphirepaddle.operators import api
+from sapphirepaddle.peers import members
+from sapphirepaddle.settings import base, entry
 from sapphirepaddle.telemetry import counters, logs
 
-STATES: typing.Final = ('starting', 'serving', 'leaving', 'draining', 'stopped')
+POLL_SECONDS: typing.Final = 0.05
+UPKEEP_SECONDS: typing.Final = 1
+
+STARTING: typing.Final = 'starting'
+SERVING: typing.Final = 'serving'
+LEAVING: typing.Final = 'leaving'
+DRAINING: typing.Final = 'draining'
+STOPPED: typing.Final = 'stopped'
 
 
 class Daemon:
@@ -29,76 +30,193 @@
 
     Attributes:
         settings: Its settings.
+        parts: Its parts.
         state: Where it is in its life.
+        machine: The states and their order.
+        tasks: Tasks that run until the stop.
+        logger: Log of the life.
     """
 
     def __init__(self, settings: entry.Entry) -> None:
         """Create the parts; nothing runs yet."""
         self.settings = settings
-        self.state = 'starting'
+        self.parts = parts.Parts(settings)
+        self.state = STARTING
         self.machine = transitions.Machine(
             self,
-            states=list(STATES),
-            initial='starting',
+            states=[STARTING, SERVING, LEAVING, DRAINING, STOPPED],
+            initial=STARTING,
             auto_transitions=False,
             transitions=[
-                ['serve', 'starting', 'serving'],
-                ['leave', ['starting', 'serving'], 'leaving'],
-                ['drain', 'leaving', 'draining'],
-                ['finish', '*', 'stopped'],
+                ['serve', STARTING, SERVING],
+                ['leave', [STARTING, SERVING], LEAVING],
+                ['drain', LEAVING, DRAINING],
+                ['finish', DRAINING, STOPPED],
             ],
+            after_state_change='note_state',
         )
-        self.counters = counters.Counters()
-        self.current = in_force.InForce()
-        self.table = table.RoutingTable(
-            settings.availability_zone,
-            settings.routing,
-            clock.monotonic,
-            random.Random(),
+        self.tasks: list[asyncio.Task[None]] = []
+        self.logger = logs.get('daemon')
+
+    def note_state(self) -> None:
+        """Log a change of state."""
+        self.logger.info('state', state=self.state)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then stop without cutting off anything.
+
+        Raises:
+            OSError: If an address cannot be listened on.
+        """
+        sockets = open_sockets(self.settings)
+        peers = await asyncio.start_server(
+            self.parts.mesh.accept,
+            sock=sockets[1],
         )
-        self.dispatcher = dispatch.Dispatcher(
-            settings.routing,
-            self.table,
-            self.counters,
-            settings.vm,
+        operators = self.operators_server()
+        operating = asyncio.create_task(
+            http_server.run(operators, sockets[2]),
         )
-        self.gateway = app.Gateway(
-            settings.caller_limits,
-            self.current,
-            limiter.NoLimiter(),
-            self.dispatcher,
-            self.counters,
+        await self.start()
+        callers = http_server.create(
+            self.parts.gateway,
+            caller_connection.bounded(self.settings.caller_limits),
+            self.settings.caller_limits.keep_alive_seconds,
         )
-        self.current.listeners.append(self.reconfigure)
-        self.store = remote.RemoteStore(
-            settings.platform.url,
-            settings.platform.call_seconds,
+        serving = asyncio.create_task(http_server.run(callers, sockets[0]))
+        self.trigger('serve')
+        await stop.wait()
+        await self.stop_callers(callers, serving)
+        await self.stop_peers(peers)
+        operators.force_exit = True
+        await http_server.stop(operators, operating)
+        self.trigger('finish')
+
+    def trigger(self, name: str) -> None:
+        """Move to the next state."""
+        self.machine.events[name].trigger(self)
+
+    def operators_server(self) -> http_server.HttpServer:
+        """Return the server of operators, health checks and metrics."""
+        exporter = counters.Exporter(self.parts.counters)
+        application = api.create(self.parts, exporter, self.is_ready)
+        return http_server.create(application)
+
+    def is_ready(self) -> bool:
+        """Tell the balancer whether to send callers here."""
+        configured = self.parts.current.revision > 0
+        return self.state == SERVING and configured
+
+    async def start(self) -> None:
+        """Read the platform, meet the peers, start the standing tasks."""
+        held = self.parts
+        await held.watcher.start()
+        self.announce('live')
+        held.publish_status()
+        standing: tuple[abc.Coroutine[typing.Any, typing.Any, None], ...] = (
+            held.mesh.keep_neighbours(),
+            held.watcher.keep_list(),
+            held.watcher.keep_objects(),
+            held.keeper.run(),
+            held.evidence.run(),
+            held.prober.run(),
+            self.meet_seeds(),
+            self.upkeep(),
         )
-        self.logger = logs.get('daemon')
+        self.tasks = [asyncio.create_task(work) for work in standing]
+        for task in self.tasks:
+            task.add_done_callback(self.note_failure)
+
+    def note_failure(self, task: asyncio.Task[None]) -> None:
+        """Log a standing task that ended with an error."""
+        if not task.cancelled() and task.exception() is not None:
+            self.logger.error('task failed', exc_info=task.exception())
 
-    def reconfigure(self, touched: frozenset[str]) -> None:
-        self.table.configure(self.current.configuration)
+    def announce(self, state: typing.Literal['live', 'leaving']) -> None:
+        """Tell the fleet that this VM lives or leaves."""
+        version = int(clock.wall() * VERSIONS_A_SECOND)
+        own = members.own_item(
+            self.settings.peers,
+            self.settings.availability_zone,
+            state,
+        )
+        item = members.item_of(self.settings.vm, own, version)
+        self.parts.gossip.spread(item, self.settings.vm)
 
-    async def follow(self) -> None:
-        since = 0
+    async def meet_seeds(self) -> None:
+        """Connect to the seeds while no other VM is known."""
+        while len(self.parts.members.all_names()) == 1:
+            await asyncio.gather(
+                *(
+                    self.parts.mesh.connect('', seed.host, seed.port)
+                    for seed in self.settings.seeds
+                ),
+            )
+            await asyncio.sleep(self.settings.membership.retry_seconds)
+
+    async def upkeep(self) -> None:
+        """Keep up what depends on the size of the fleet."""
         while True:
-            try:
-                found = await self.store.watch(change_log.PREFIX, since, 10)
-            except errors.PlatformError:
-                await asyncio.sleep(1)
-                continue
-            for stored in found:
-                since = stored.version
-                self.current.apply(change.decode(stored.body or b''))
+            names = self.parts.members.all_names()
+            self.parts.dispatcher.daemons = len(names)
+            self.parts.status.forget(names)
+            await asyncio.sleep(UPKEEP_SECONDS)
 
-    async def run(self, stop: asyncio.Event) -> None:
-        opened = http_server.listen(self.settings.callers)
-        server = http_server.create(
-            self.gateway,
-            caller_connection.bounded(self.settings.caller_limits),
-        )
-        serving = asyncio.create_task(http_server.run(server, opened))
-        following = asyncio.create_task(self.follow())
-        await stop.wait()
-        following.cancel()
+    async def stop_callers(
+        self,
+        server: http_server.HttpServer,
+        serving: asyncio.Task[None],
+    ) -> None:
+        """Stop serving callers without cutting off a request.
+
+        The daemon goes on accepting while the balancer's list lags. Then
+        it stops accepting, but an idle connection is left to its caller to
+        close: a request may be on its way on it.
+        """
+        self.trigger('leave')
+        self.parts.gateway.leaving = True
+        self.parts.keeper.leaving = True
+        self.announce('leaving')
+        self.parts.publish_status()
+        await asyncio.sleep(self.settings.stop.announce_seconds)
+        self.trigger('drain')
+        for listening in server.servers:
+            listening.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.stop.drain_seconds):
+                await self.idle(server)
         await http_server.stop(server, serving)
+
+    async def idle(self, server: http_server.HttpServer) -> None:
+        """Wait until no caller is connected."""
+        while server.server_state.connections:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def stop_peers(self, peers: asyncio.Server) -> None:
+        """Hand over roles, then end peer connections and tasks."""
+        await asyncio.gather(*self.parts.orders.tasks, return_exceptions=True)
+        await self.parts.keeper.review()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        peers.close()
+        await self.parts.mesh.close()
+        await self.parts.dispatcher.close()
+        await self.parts.store.close()
+
+
+VERSIONS_A_SECOND: typing.Final = 1000000
+
+
+def open_sockets(settings: entry.Entry) -> list[socket.socket]:
+    """Open the sockets for callers, peers and operators.
+
+    Raises:
+        OSError: If an address is taken.
+    """
+    places: tuple[base.Listener, ...] = (
+        settings.callers,
+        settings.peers,
+        settings.operators,
+    )
+    return [http_server.listen(place) for place in places]
--- /dev/null
+++ b/sapphirepaddle/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""How daemons share configuration, membership, evidence and roles."""
--- a/sapphirepaddle/gateway/attempt.py
+++ b/sapphirepaddle/gateway/attempt.py
@@ -21,6 +21,10 @@
 """Faults after which the request provably did not run."""
 
 
+DRAINING: typing.Final = 'draining'
+"""Detail of a refusal by a target that drains."""
+
+
 class AttemptFailedError(Exception):
     """An attempt gave no whole answer.
 
--- a/sapphirepaddle/gateway/dispatch.py
+++ b/sapphirepaddle/gateway/dispatch.py
@@ -14,6 +14,7 @@
     retry_budget,
     target_client,
 )
+from sapphirepaddle.objects import service
 from sapphirepaddle.routing import result, table, view, waiting
 from sapphirepaddle.settings import entry
 from sapphirepaddle.telemetry import counters
@@ -178,12 +179,13 @@
         chosen = await self.wait(request, progress)
         number = next(self.numbers)
         running = attempt.Attempt(f'{self.prefix}-{number}')
-        slow = progress.room.pool.slow_seconds(request.route.name)
+        pool = progress.room.pool
+        slow = pool.slow_seconds(request.route.name)
         started = clock.monotonic()
         self.running[number] = Running(chosen, started, started + slow)
         seconds = self.attempt_seconds(request, progress, slow)
         try:
-            received = await self.client(chosen, progress).send(
+            received = await self.client(chosen, pool.service).send(
                 target_client.Sending(
                     request.head.method,
                     request.head.url,
@@ -234,7 +236,7 @@
             progress.excluded,
         )
         try:
-            request.check_access()
+            check_start(request, progress)
         except errors.RefusedError:
             progress.room.release(chosen)
             raise
@@ -263,20 +265,19 @@
     def client(
         self,
         chosen: view.View,
-        progress: Progress,
+        configured: service.Service,
     ) -> target_client.TargetClient:
-        """Return the client of a target."""
+        """Return the client of a target of a service."""
         place = chosen.target
         base = f'http://{place.address}:{place.port}'
         held = self.clients.get(base)
         if held is None:
-            service = progress.room.pool.service
-            fair = service.connections // max(1, self.daemons)
+            fair = configured.connections // max(1, self.daemons)
             held = target_client.TargetClient(
                 base,
                 self.settings.connect_seconds,
-                max(fair, service.slots),
-                service.echo,
+                max(fair, configured.slots),
+                configured.echo,
             )
             self.clients[base] = held
         return held
@@ -290,6 +291,9 @@
         """Take a failed attempt as evidence, unless it was before."""
         running = self.running[number]
         self.counters.add('attempt_faults', error.fault.value)
+        if error.detail == attempt.DRAINING:
+            running.view.note_draining(clock.monotonic())
+            progress.room.pool.refreshed = -1
         if error.fault is not Fault.REFUSED:
             progress.excluded.add(running.view.target.name)
         if not running.noted:
@@ -373,6 +377,19 @@
         await asyncio.gather(*closing)
 
 
+def check_start(request: call.Call, progress: Progress) -> None:
+    """Check, just before a request is sent, that it still may be.
+
+    A process that was paused finds its deadline passed here.
+
+    Raises:
+        RefusedError: If the key was withdrawn or the deadline passed.
+    """
+    request.check_access()
+    if clock.monotonic() >= progress.run_until:
+        raise errors.RefusedError(codes.WAIT_TIMEOUT, 'deadline passed')
+
+
 def can_repeat(request: call.Call) -> bool:
     """Tell whether a request may run more than once."""
     return request.route.idempotent and request.is_replayable
--- a/sapphirepaddle/gateway/http_server.py
+++ b/sapphirepaddle/gateway/http_server.py
@@ -28,13 +28,14 @@
     """Open a listening socket.
 
     The address is bound exclusively: a second process on the same VM
-    cannot take it while the first one lives or is paused.
+    cannot take it while the first one lives or is paused. The protocol is
+    stated, since asyncio only then sends small writes without delay.
 
     Raises:
         OSError: If the address is taken.
     """
     family = socket.AF_INET6 if ':' in place.host else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_STREAM)
+    opened = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     opened.bind((place.host, place.port))
     opened.listen(BACKLOG)
--- a/sapphirepaddle/gateway/target_client.py
+++ b/sapphirepaddle/gateway/target_client.py
@@ -138,7 +138,9 @@
         if echoed is not None and echoed != sending.attempt.identifier:
             raise AttemptFailedError(Fault.CROSSED, 'other identifier')
         if reply.status_code == SHED and reply.headers.get('x-not-run') == '1':
-            raise AttemptFailedError(Fault.REFUSED, 'shed')
+            draining = 'x-draining' in reply.headers
+            detail = attempt.DRAINING if draining else 'shed'
+            raise AttemptFailedError(Fault.REFUSED, detail)
         check_length(reply, sending.method)
 
     async def close(self) -> None:
--- /dev/null
+++ b/sapphirepaddle/limits/keeper.py
@@ -0,0 +1,212 @@
+"""Keeping the ownership of quota partitions in the platform."""
+
+import asyncio
+import typing
+from collections import abc
+
+from sapphirepaddle import clock, errors
+from sapphirepaddle.limits import owner, ownership
+from sapphirepaddle.peers import gossip, members, mesh, messages, ring
+from sapphirepaddle.platform import store, stored
+from sapphirepaddle.routing import rendezvous
+from sapphirepaddle.settings import entry
+from sapphirepaddle.telemetry import counters, logs
+
+TICK_SECONDS: typing.Final = 0.1
+REVIEW_TICKS: typing.Final = 10
+VERIFY_SECONDS: typing.Final = 1
+
+
+class OwnershipKeeper:
+    """Reads, spreads and changes the ownership of partitions.
+
+    A partition changes hands in two ways only, both as a conditional
+    update in the platform: its owner gives it away and stops first, or its
+    owner's VM has been gone from the platform's list for some time.
+
+    Attributes:
+        settings: Times and sizes.
+        owner: The partitions that this VM owns.
+        store: The platform.
+        known: The VMs of the fleet.
+        gossip: Spreads the ownership.
+        mesh: The peer connections.
+        counters: Totals for metrics.
+        logger: Log of moves.
+        leaving: Whether this VM leaves.
+    """
+
+    def __init__(
+        self,
+        settings: entry.Limits,
+        own: owner.QuotaOwner,
+        objects: store.ObjectStore,
+        known: members.Members,
+        spread: gossip.Gossip,
+        totals: counters.Counters,
+    ) -> None:
+        """Take part in the spreading of news."""
+        self.settings = settings
+        self.owner = own
+        self.store = objects
+        self.known = known
+        self.gossip = spread
+        self.mesh: mesh.Mesh = spread.mesh
+        self.counters = totals
+        self.logger = logs.get('quota')
+        self.leaving = False
+        spread.news.handlers[ownership.TOPIC] = self.take_up_news
+
+    def take_up(self, held: stored.Stored) -> None:
+        """Take up the object of the platform and spread it."""
+        self.gossip.publish_version(
+            ownership.TOPIC,
+            ownership.KEY,
+            held.version,
+            held.body or b'',
+        )
+
+    def take_up_news(self, item: messages.Item) -> None:
+        """Take up news on the ownership."""
+        held = ownership.ADAPTER.validate_json(item.payload)
+        self.owner.take_up(held, item.version, clock.monotonic())
+
+    async def run(self) -> None:
+        """Watch for pauses of this process and review the ownership."""
+        count = 0
+        while True:
+            self.owner.tick(clock.monotonic())
+            if self.owner.is_suspended:
+                await self.verify()
+            if count % REVIEW_TICKS == 0:
+                await self.review()
+            count += 1
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def verify(self) -> None:
+        """Read the ownership anew after a pause, before it is used."""
+        try:
+            held = await self.store.read(ownership.KEY)
+        except errors.PlatformError:
+            await self.verify_with_peer()
+            return
+        now = clock.monotonic()
+        if held is not None:
+            self.take_up(held)
+            self.owner.restart(self.owner.stopped(), now)
+        self.owner.resume(now)
+
+    async def verify_with_peer(self) -> None:
+        """Compare with a neighbour while the platform is silent."""
+        names = ring.successors(self.known.own, self.known.vms.keys())
+        open_names = [name for name in names if self.mesh.links.get(name)]
+        for name in open_names:
+            try:
+                newer = await self.mesh.ask(
+                    name,
+                    messages.Sums(self.gossip.news.sums()),
+                    VERIFY_SECONDS,
+                )
+            except errors.PeerError:
+                continue
+            self.gossip.take_up(newer, name)
+            self.owner.resume(clock.monotonic())
+            return
+
+    async def review(self) -> None:
+        """Give away what this VM should not own, or what nobody owns."""
+        moves = self.moves()
+        if not moves:
+            if self.owner.stopped():
+                await self.verify()
+            return
+        try:
+            await self.change(moves)
+        except errors.PlatformError as error:
+            self.logger.info('ownership not changed', detail=str(error))
+
+    def moves(self) -> dict[int, str]:
+        """Return the partitions that this VM moves now."""
+        live = self.known.live()
+        if self.leaving:
+            others = [name for name in live if name != self.known.own]
+            mine = self.owner.held.of(self.known.own)
+            return self.assign(sorted(mine), others)
+        moves = ownership.surplus(
+            self.owner.held,
+            self.known.own,
+            self.settings.partitions,
+            live,
+        )
+        if rendezvous.first('assign', live) == self.known.own:
+            moves |= self.assign(self.orphans(), live)
+        return moves
+
+    def assign(
+        self,
+        free: abc.Sequence[int],
+        live: abc.Collection[str],
+    ) -> dict[int, str]:
+        """Return new owners of free partitions."""
+        if not free or not live:
+            return {}
+        return ownership.assign(self.owner.held, free, live)
+
+    def orphans(self) -> list[int]:
+        """Return the partitions that nobody owns any more."""
+        limit = clock.monotonic() - self.settings.reclaim_seconds
+        gone = frozenset(
+            name
+            for name, since in self.known.gone_since.items()
+            if since < limit
+        )
+        return ownership.orphans(
+            self.owner.held,
+            self.settings.partitions,
+            gone,
+        )
+
+    async def change(self, moves: dict[int, str]) -> None:
+        """Change owners by a conditional update.
+
+        Partitions that this VM gives away are stopped before. A lost
+        answer needs no care: the next review reads what came of it.
+
+        Raises:
+            PlatformError: If the platform is silent or the object changed.
+        """
+        given = [
+            partition
+            for partition in moves
+            if self.owner.since.pop(partition, None) is not None
+        ]
+        held = self.owner.held.given(moves)
+        try:
+            written = await self.store.write(
+                ownership.KEY,
+                held.encode(),
+                self.owner.version,
+            )
+        except errors.PlatformError:
+            await self.read_back(given)
+            raise
+        self.counters.add('partitions_moved', '', len(moves))
+        self.logger.info('partitions moved', count=len(moves))
+        self.take_up(
+            stored.Stored(ownership.KEY, held.encode(), written.version),
+        )
+
+    async def read_back(self, given: abc.Iterable[int]) -> None:
+        """Read what came of an update whose answer was lost.
+
+        While the platform stays silent the given partitions stay stopped.
+
+        Raises:
+            PlatformUnavailableError: If the platform is silent.
+        """
+        held = await self.store.read(ownership.KEY)
+        if held is None:
+            return
+        self.take_up(held)
+        if held.version == self.owner.version:
+            self.owner.restart(given, clock.monotonic())
--- /dev/null
+++ b/sapphirepaddle/parts.py
@@ -0,0 +1,229 @@
+"""The parts of an entry daemon and how they are put together."""
+
+import random
+import time
+
+from sapphirepaddle import clock
+from sapphirepaddle.claims import ledger, orders
+from sapphirepaddle.fleet import (
+    configuration_sync,
+    evidence,
+    freshness,
+    prober,
+    status,
+    watcher,
+)
+from sapphirepaddle.gateway import app, dispatch, in_force
+from sapphirepaddle.limits import keeper, owner, ownership, quota
+from sapphirepaddle.objects import client_account
+from sapphirepaddle.peers import gossip, handshake, members, mesh, messages
+from sapphirepaddle.platform import remote
+from sapphirepaddle.routing import table
+from sapphirepaddle.settings import entry
+from sapphirepaddle.telemetry import counters
+
+
+class Parts:
+    """All parts of one daemon, connected with each other.
+
+    Attributes:
+        settings: Settings of the daemon.
+        counters: Totals for metrics.
+        current: Configuration in force.
+        store: The platform.
+        members: The VMs of the fleet.
+        mesh: Peer connections.
+        gossip: Spreading of news.
+        freshness: Contact with the platform.
+        sync: Spreading of changes.
+        watcher: Reading of the platform.
+        dispatcher: Sending of requests.
+        evidence: Pooling of evidence.
+        prober: Probing of targets.
+        owner: Owned partitions of quota.
+        keeper: Ownership of quota.
+        status: Statuses of daemons.
+        orders: Running of claimed requests.
+        gateway: Serving of callers.
+    """
+
+    def __init__(self, settings: entry.Entry) -> None:
+        """Create and connect the parts; nothing runs yet."""
+        self.settings = settings
+        self.counters = counters.Counters()
+        self.current = in_force.InForce()
+        self.store = remote.RemoteStore(
+            settings.platform.url,
+            settings.platform.call_seconds,
+            settings.vm,
+        )
+        self.connect_peers()
+        self.connect_targets()
+        self.connect_limits()
+        self.connect_callers()
+        self.current.listeners.append(self.reconfigure)
+
+    def connect_peers(self) -> None:
+        """Create what talks with other daemons and the platform."""
+        settings = self.settings
+        zone = settings.availability_zone
+        self.members = members.Members(settings.vm, zone)
+        own = handshake.Identity(
+            settings.vm,
+            zone,
+            time.time_ns(),
+            settings.peer_secrets,
+        )
+        self.mesh = mesh.Mesh(
+            own,
+            settings.peers,
+            settings.membership,
+            self.members,
+        )
+        self.gossip = gossip.Gossip(self.mesh, self.counters)
+        self.freshness = freshness.Freshness(
+            self.members,
+            settings.membership.isolation_seconds,
+            clock.monotonic(),
+        )
+        self.sync = configuration_sync.ConfigurationSync(
+            self.current,
+            self.mesh,
+            self.counters,
+        )
+        self.watcher = watcher.Watcher(
+            settings.membership,
+            self.store,
+            self.members,
+            self.sync,
+            self.gossip,
+            self.freshness,
+        )
+        self.status = status.StatusBoard(self.gossip)
+        self.mesh.heartbeat = self.heartbeat
+        self.mesh.answerers[messages.Heartbeat] = self.note_heartbeat
+        self.gossip.news.handlers[status.WITHDRAWN_TOPIC] = self.withdraw
+
+    def connect_targets(self) -> None:
+        """Create what sends requests to targets and judges them."""
+        settings = self.settings
+        services = table.RoutingTable(
+            settings.availability_zone,
+            settings.routing,
+            clock.monotonic,
+            random.Random(),
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            settings.routing,
+            services,
+            self.counters,
+            f'{settings.vm}-{self.mesh.own.incarnation:x}',
+        )
+        self.evidence = evidence.EvidenceExchange(
+            settings.routing,
+            self.dispatcher,
+            self.members,
+            self.gossip,
+            self.counters,
+        )
+        self.prober = prober.Prober(
+            settings.routing,
+            self.dispatcher,
+            self.evidence,
+            self.counters,
+        )
+
+    def connect_limits(self) -> None:
+        """Create what limits client accounts over the fleet."""
+        settings = self.settings
+        self.owner = owner.QuotaOwner(
+            settings.vm,
+            settings.limits,
+            self.find_account,
+        )
+        self.keeper = keeper.OwnershipKeeper(
+            settings.limits,
+            self.owner,
+            self.store,
+            self.members,
+            self.gossip,
+            self.counters,
+        )
+        self.watcher.handlers[ownership.KEY] = self.keeper.take_up
+
+    def connect_callers(self) -> None:
+        """Create what serves callers."""
+        settings = self.settings
+        claims = ledger.Ledger(
+            settings.claims,
+            self.store,
+            self.members,
+            self.mesh,
+        )
+        self.orders = orders.OrderRunner(
+            settings.claims,
+            claims,
+            self.dispatcher,
+            self.counters,
+        )
+        limits = quota.QuotaLimiter(
+            settings.limits,
+            self.owner,
+            self.mesh,
+            self.counters,
+        )
+        self.gateway = app.Gateway(
+            settings.caller_limits,
+            self.current,
+            limits,
+            self.dispatcher,
+            self.counters,
+        )
+        self.gateway.run_order = self.orders.run
+        self.gateway.is_isolated = self.is_isolated
+
+    def find_account(self, name: str) -> client_account.ClientAccount | None:
+        """Return a client account in force."""
+        return self.current.configuration.accounts.get(name)
+
+    def reconfigure(self, touched: frozenset[str]) -> None:
+        """Take up the configuration in force."""
+        if touched & ROUTING_KINDS:
+            self.dispatcher.table.configure(self.current.configuration)
+        self.publish_status()
+
+    def publish_status(self) -> None:
+        """Tell the fleet the state and revision of this daemon."""
+        self.status.publish(
+            status.own_status(
+                self.settings.vm,
+                self.settings.availability_zone,
+                'leaving' if self.gateway.leaving else 'serving',
+                self.current.revision,
+            ),
+        )
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return the heartbeat to send now."""
+        return messages.Heartbeat(
+            self.current.revision,
+            self.freshness.age(clock.monotonic()),
+            self.gateway.leaving,
+        )
+
+    def note_heartbeat(self, body: messages.Heartbeat, sender: str) -> None:
+        """Take up a peer's heartbeat."""
+        now = clock.monotonic()
+        self.freshness.note_peer(sender, body.age, now)
+        self.sync.note_revision(sender, body.revision)
+
+    def withdraw(self, item: messages.Item) -> None:
+        """Stop a key at once."""
+        self.current.withdraw(item.key)
+
+    def is_isolated(self) -> bool:
+        """Tell whether platform and peers are silent."""
+        return self.freshness.is_cut_off(clock.monotonic())
+
+
+ROUTING_KINDS = frozenset(('service', 'target', 'availability_zone'))
--- /dev/null
+++ b/sapphirepaddle/peers/members.py
@@ -0,0 +1,140 @@
+"""The VMs of the fleet as one daemon knows them."""
+
+import dataclasses
+import typing
+
+import orjson
+import pydantic
+
+from sapphirepaddle.peers import messages
+from sapphirepaddle.platform import vm
+from sapphirepaddle.settings import base
+
+TOPIC: typing.Final = 'vm'
+GONE: typing.Final = 'gone'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Listed:
+    """News on one VM.
+
+    Attributes:
+        zone: Name of its availability zone.
+        address: IP address of its peer listener.
+        port: TCP port of its peer listener.
+        state: Whether it lives, is leaving or is gone from the list.
+    """
+
+    zone: str
+    address: str
+    port: int
+    state: typing.Literal['live', 'leaving', 'gone']
+
+
+ADAPTER: typing.Final = pydantic.TypeAdapter(Listed)
+
+
+class Members:
+    """All VMs of the fleet.
+
+    Attributes:
+        own: Name of this VM.
+        own_zone: Its availability zone.
+        vms: VMs that live or are leaving, by name.
+        gone_since: When a VM was first missed, by name.
+    """
+
+    def __init__(self, own: str, own_zone: str) -> None:
+        """Start alone."""
+        self.own = own
+        self.own_zone = own_zone
+        self.vms: dict[str, Listed] = {}
+        self.gone_since: dict[str, float] = {}
+
+    def live(self) -> list[str]:
+        """Return the VMs that take on work, this one included."""
+        names = {
+            name for name, listed in self.vms.items() if listed.state == 'live'
+        }
+        return sorted(names | {self.own})
+
+    def all_names(self) -> list[str]:
+        """Return the VMs that live or are leaving, this one included."""
+        return sorted(self.vms.keys() | {self.own})
+
+    def in_zone(self, zone: str) -> list[str]:
+        """Return the live VMs of an availability zone."""
+        return [name for name in self.live() if self.zone_of(name) == zone]
+
+    def zones(self) -> list[str]:
+        """Return the availability zones with live VMs."""
+        return sorted({self.zone_of(name) for name in self.live()})
+
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of a VM; empty if not known."""
+        if name == self.own:
+            return self.own_zone
+        listed = self.vms.get(name)
+        return listed.zone if listed else ''
+
+    def take_up(self, item: messages.Item, now: float) -> None:
+        """Take up news on one VM."""
+        listed = ADAPTER.validate_json(item.payload)
+        if listed.state == GONE:
+            self.vms.pop(item.key, None)
+            self.gone_since.setdefault(item.key, now)
+        else:
+            self.vms[item.key] = listed
+            self.gone_since.pop(item.key, None)
+
+    def outruns(self, name: str, entry: Listed) -> bool:
+        """Tell whether a VM's own word that it leaves outruns the list."""
+        held = self.vms.get(name)
+        leaving = held is not None and held.state == 'leaving'
+        return leaving and entry.state == 'live'
+
+    def changes(self, listed: list[vm.Vm]) -> dict[str, Listed]:
+        """Return what a list read from the platform changes.
+
+        Args:
+            listed: The list.
+        """
+        wanted = {
+            entry.name: Listed(
+                zone=entry.zone,
+                address=entry.address,
+                port=entry.port,
+                state=entry.state,
+            )
+            for entry in listed
+        }
+        changed = {
+            name: entry
+            for name, entry in wanted.items()
+            if self.vms.get(name) != entry and not self.outruns(name, entry)
+        }
+        missed = {
+            name: dataclasses.replace(held, state=GONE)
+            for name, held in self.vms.items()
+            if name not in wanted
+        }
+        return changed | missed
+
+
+def own_item(
+    place: base.Listener,
+    zone: str,
+    state: typing.Literal['live', 'leaving'],
+) -> Listed:
+    """Return what a VM says of itself."""
+    return Listed(
+        zone=zone,
+        address=place.host,
+        port=place.port,
+        state=state,
+    )
+
+
+def item_of(name: str, listed: Listed, version: int) -> messages.Item:
+    """Return the news on one VM."""
+    return messages.Item(TOPIC, name, version, orjson.dumps(listed))
--- a/sapphirepaddle/platform/change_log.py
+++ b/sapphirepaddle/platform/change_log.py
@@ -11,7 +11,7 @@
 from sapphirepaddle.objects import change, configuration
 from sapphirepaddle.platform import store, stored
 
-PREFIX: typing.Final = 'configuration/changes/'
+PREFIX: typing.Final = 'fleet/changes/'
 DIGITS: typing.Final = 12
 READ_BACK_SECONDS: typing.Final = 0.2
 READ_BACK_TRIES: typing.Final = 25
--- a/sapphirepaddle/platform/remote.py
+++ b/sapphirepaddle/platform/remote.py
@@ -31,14 +31,18 @@
 
     Attributes:
         url: Base URL of the API.
+        headers: Headers of each call; they name the calling VM.
         call_seconds: Limit of one call in seconds.
         client: The HTTP client.
         calls: Calls made so far, waiting watches included.
     """
 
-    def __init__(self, url: str, call_seconds: float) -> None:
+    def __init__(
+        self, url: str, call_seconds: float, vm_name: str = ''
+    ) -> None:
         """Store the address and the limit of a call."""
         self.url = url
+        self.headers = {'x-vm': vm_name}
         self.call_seconds = call_seconds
         self.client = aiosonic.HTTPClient()
         self.calls = 0
@@ -128,6 +132,7 @@
         answer = await self.client.request(
             f'{self.url}{path}',
             method,
+            headers=self.headers,
             data=body or None,
             timeouts=NO_TIMEOUTS,
         )
--- a/sapphirepaddle/routing/judge.py
+++ b/sapphirepaddle/routing/judge.py
@@ -188,9 +188,15 @@
         return min(doubled, self.settings.most_eject_seconds)
 
     def release(self, case: Case, now: float) -> verdict.Verdict | None:
-        """Let a target return when its ejection is over."""
+        """Let a target return when its ejection is over.
+
+        It stays out while probes still fail.
+        """
         if now - case.since < self.eject_seconds(case):
             return None
+        windows = (seen.window.sum(now) for seen in case.observers.values())
+        if any(counts.bad for counts in windows):
+            return None
         case.fire('release')
         return self.pronounce(case, now, case.verdict.relapses, 'time over')
 
--- a/sapphirepaddle/routing/view.py
+++ b/sapphirepaddle/routing/view.py
@@ -33,6 +33,7 @@
         avoidances: Avoidances in a row.
         busy_until: End of a pause after shedding.
         draining_until: End of the target's own drain signal.
+        is_drain_news: Whether the signal was not yet spread.
         fleet_verdict: The fleet's verdict, if there was one.
         verdict_at: When it was heard.
     """
@@ -49,6 +50,7 @@
     avoidances: int = 0
     busy_until: float = 0
     draining_until: float = 0
+    is_drain_news: bool = False
     fleet_verdict: verdict.Verdict | None = None
     verdict_at: float = 0
 
@@ -88,6 +90,8 @@
 
     def note_draining(self, now: float) -> None:
         """Take in the target's own signal that it drains."""
+        if now >= self.draining_until:
+            self.is_drain_news = True
         self.draining_until = now + DRAIN_SECONDS
 
     def is_avoided(self, now: float) -> bool:
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -129,7 +129,7 @@
     partitions: base.Count = 64
     parts: base.Count = 12
     part_burst: float = pydantic.Field(4, ge=1)
-    lease_seconds: base.Seconds = 0.5
+    lease_seconds: base.Seconds = 0.3
     wait_ms: int = pydantic.Field(250, ge=0)
     ask_seconds: base.Seconds = 0.2
     reclaim_seconds: base.Seconds = 5
@@ -148,9 +148,9 @@
         ask_seconds: Limit of one call to the owner of a shard.
     """
 
-    shards: base.Count = 4
+    shards: base.Count = 8
     commit_seconds: base.Seconds = 0.02
-    segment_bytes: int = pydantic.Field(128 * KIBIBYTE, ge=KIBIBYTE)
+    segment_bytes: int = pydantic.Field(32 * KIBIBYTE, ge=KIBIBYTE)
     retention_seconds: base.Seconds = 86400
     outcome_bytes: int = pydantic.Field(4 * KIBIBYTE, ge=0)
     ask_seconds: base.Seconds = 1
--- /dev/null
+++ b/sapphirepaddle/standins/processes.py
@@ -0,0 +1,132 @@
+"""Starting and ending the programs of a demonstration or a test."""
+
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404
+import sys
+import time
+import typing
+
+import orjson
+
+PROGRAMS: typing.Final = 'sapphirepaddle.cli'
+POLL_SECONDS: typing.Final = 0.02
+END_SECONDS: typing.Final = 60
+RUN_MAIN: typing.Final = (
+    'import sys; from {package} import {name}; {name}.main()'
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Program:
+    """One running program.
+
+    Attributes:
+        name: Its name here.
+        process: The process.
+        log: File of its standard output and errors.
+        is_asked: Whether it was asked to stop.
+    """
+
+    name: str
+    process: 'subprocess.Popen[bytes]'
+    log: pathlib.Path
+    is_asked: bool = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if it still runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.send(signal.SIGKILL)
+        self.process.wait()
+
+    def freeze(self) -> None:
+        """Pause it."""
+        self.send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on."""
+        self.send(signal.SIGCONT)
+
+    def ask_to_stop(self) -> None:
+        """Ask it to stop, without waiting."""
+        self.is_asked = True
+        self.wake()
+        self.send(signal.SIGTERM)
+
+    def stop(self, seconds: float = END_SECONDS) -> int:
+        """Ask it to stop and return its exit code; kill it if it hangs."""
+        if not self.is_asked:
+            self.ask_to_stop()
+        try:
+            return self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self.process.returncode
+
+    def is_running(self) -> bool:
+        """Tell whether it runs."""
+        return self.process.poll() is None
+
+
+def start(
+    name: str,
+    program: str,
+    settings: typing.Any,
+    folder: pathlib.Path,
+) -> Program:
+    """Start a program with settings.
+
+    Args:
+        name: Its name here.
+        program: Module of its command line.
+        settings: Settings as plain JSON values.
+        folder: Where its settings and its log go.
+    """
+    path = folder / f'{name}.json'
+    path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
+    log = folder / f'{name}.log'
+    code = RUN_MAIN.format(package=PROGRAMS, name=program)
+    with log.open('ab') as output:
+        process = subprocess.Popen(  # noqa: S603
+            [sys.executable, '-c', code, '--settings', str(path)],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+        )
+    return Program(name, process, log)
+
+
+def free_port(host: str) -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(
+    condition: typing.Callable[[], bool],
+    seconds: float,
+    what: str,
+) -> float:
+    """Wait until a condition holds.
+
+    Returns:
+        The seconds it took.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        if condition():
+            return time.monotonic() - started
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f'{what} within {seconds} s')
