--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run one with python -m bench.NAME."""
--- /dev/null
+++ b/sapphirepaddle/audit/trail.py
@@ -0,0 +1,180 @@
+"""The audit trail in the platform.
+
+Each daemon gathers its entries and writes them as objects of its own, at
+most one a second. While the platform is silent they wait in memory. Objects
+past the retention are deleted, so that the trail stays bounded.
+"""
+
+import asyncio
+import collections
+import itertools
+import typing
+
+import orjson
+
+from sapphirepaddle import clock, errors
+from sapphirepaddle.audit import entry
+from sapphirepaddle.platform import store
+from sapphirepaddle.telemetry import counters, logs
+
+PREFIX: typing.Final = 'audit/'
+WRITE_SECONDS: typing.Final = 1
+MOST_WAITING: typing.Final = 100000
+BATCH_ENTRIES: typing.Final = 1000
+DAY_SECONDS: typing.Final = 86400
+DIGITS: typing.Final = 8
+PRUNE_ROUNDS: typing.Final = 600
+
+
+class AuditTrail:
+    """Gathers and writes the entries of this daemon.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: Start of the process.
+        store: The platform.
+        counters: Totals for metrics.
+        retention_days: Days after which entries are deleted.
+        waiting: Entries not yet written, oldest first.
+        numbers: Numbers of entries.
+        batches: Numbers of objects.
+        batch: Number of the object to write next.
+        may_prune: Whether this daemon deletes old objects now.
+        logger: Also gets each entry.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        objects: store.ObjectStore,
+        totals: counters.Counters,
+        retention_days: int,
+    ) -> None:
+        """Start with nothing to write."""
+        self.vm = vm
+        self.incarnation = incarnation
+        self.store = objects
+        self.counters = totals
+        self.retention_days = retention_days
+        self.waiting: collections.deque[entry.AuditEntry] = collections.deque()
+        self.numbers = itertools.count(1)
+        self.batch = 1
+        self.may_prune: typing.Callable[[], bool] = bool
+        self.logger = logs.get('audit')
+
+    def add(
+        self,
+        action: str,
+        subject: str,
+        *,
+        actor: str = '',
+        before: str = '',
+        after: str = '',
+        reason: str = '',
+    ) -> None:
+        """Add an entry; beyond a bound the oldest is dropped and counted.
+
+        Args:
+            action: What was done.
+            subject: What it was done to.
+            actor: Name of the operator; this VM if empty.
+            before: Version or state before.
+            after: Version or state after.
+            reason: Why.
+        """
+        added = entry.AuditEntry(
+            at=clock.wall(),
+            vm=self.vm,
+            number=next(self.numbers),
+            actor=actor or self.vm,
+            action=action,
+            subject=subject,
+            before=before,
+            after=after,
+            reason=reason,
+        )
+        if len(self.waiting) >= MOST_WAITING:
+            self.waiting.popleft()
+            self.counters.add('audit_dropped')
+        self.waiting.append(added)
+        self.logger.info(action, target=subject, actor=added.actor)
+
+    async def run(self) -> None:
+        """Write what waits, again and again."""
+        for count in itertools.count(1):
+            await asyncio.sleep(WRITE_SECONDS)
+            await self.flush()
+            if count % PRUNE_ROUNDS == 0 and self.may_prune():
+                await self.prune()
+
+    async def flush(self) -> None:
+        """Write what waits, if the platform answers.
+
+        An object that exists already was written before its answer was
+        lost, since its key is this process's own.
+        """
+        while self.waiting:
+            batch = list(itertools.islice(self.waiting, BATCH_ENTRIES))
+            try:
+                await self.store.write(self.key(batch), orjson.dumps(batch), 0)
+            except errors.VersionConflictError:
+                self.counters.add('audit_read_back')
+            except errors.PlatformError:
+                return
+            self.batch += 1
+            for _ in batch:
+                self.waiting.popleft()
+
+    def key(self, batch: list[entry.AuditEntry]) -> str:
+        """Return the key of the next object."""
+        day = int(batch[0].at // DAY_SECONDS)
+        number = f'{self.batch:0{DIGITS}d}'
+        return f'{PREFIX}{day}/{self.vm}/{self.incarnation}/{number}'
+
+    async def prune(self) -> None:
+        """Delete objects past the retention."""
+        limit = int(clock.wall() // DAY_SECONDS) - self.retention_days
+        try:
+            page = await self.store.select(PREFIX, PREFIX)
+            old = [held for held in page if day_of(held.key) < limit]
+            for held in old:
+                await self.store.delete(held.key, held.version)
+        except errors.PlatformError:
+            self.counters.add('audit_prune_failed')
+
+
+def day_of(key: str) -> int:
+    """Return the day of an object, counted from the Unix epoch."""
+    return int(key.removeprefix(PREFIX).partition('/')[0])
+
+
+async def read(
+    objects: store.ObjectStore,
+    since: float,
+) -> list[entry.AuditEntry]:
+    """Return the entries since a time, in order.
+
+    Args:
+        objects: The platform.
+        since: Unix time in seconds.
+
+    Raises:
+        PlatformUnavailableError: If the platform does not answer.
+    """
+    found: list[entry.AuditEntry] = []
+    last = f'{PREFIX}{int(since // DAY_SECONDS)}'
+    while True:
+        page = await objects.select(PREFIX, last)
+        if not page:
+            break
+        last = page[-1].key
+        for held in page:
+            found.extend(entry.LIST.validate_json(held.body or b'[]'))
+    recent = [added for added in found if added.at >= since]
+    return sorted(recent, key=order)
+
+
+def order(added: entry.AuditEntry) -> tuple[float, str, int]:
+    """Return the place of an entry in the trail."""
+    return (added.at, added.vm, added.number)
--- a/sapphirepaddle/cli/common.py
+++ b/sapphirepaddle/cli/common.py
@@ -13,8 +13,7 @@
 
 Stop = asyncio.Event
 Main = abc.Callable[[Stop], abc.Coroutine[typing.Any, typing.Any, None]]
-USAGE_EXIT: typing.Final = 2
-FAILED_EXIT: typing.Final = 1
+FIRST_EXIT: typing.Final = 10
 
 SettingsFile = typing.Annotated[
     pathlib.Path,
@@ -89,8 +88,8 @@
 
 
 def exit_code(error: errors.PaddleError) -> int:
-    """Return the exit code of an error: the thousands of its number."""
-    return error.code.number // THOUSAND + FAILED_EXIT
+    """Return the exit code of an error: ten and its number's thousands."""
+    return FIRST_EXIT + error.code.number // THOUSAND
 
 
 THOUSAND: typing.Final = 1000
--- a/sapphirepaddle/cli/entry.py
+++ b/sapphirepaddle/cli/entry.py
@@ -9,7 +9,10 @@
 from sapphirepaddle.settings import entry, loader
 from sapphirepaddle.telemetry import logs
 
-application = typer.Typer(add_completion=False)
+application = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
 
 
 @application.command()
--- /dev/null
+++ b/sapphirepaddle/cli/settings_check.py
@@ -0,0 +1,69 @@
+"""paddle settings: checking files without starting anything."""
+
+import enum
+import pathlib
+import typing
+
+import typer
+
+from sapphirepaddle import codes, errors
+from sapphirepaddle.cli import common
+from sapphirepaddle.objects import change, configuration, references
+from sapphirepaddle.settings import loader, programs
+
+application = typer.Typer(help='Check files without starting anything.')
+
+
+class Program(enum.StrEnum):
+    """The programs that have settings files."""
+
+    ENTRY = 'paddle-entry'
+    PLATFORM = 'paddle-platform'
+    TARGET = 'paddle-target'
+
+
+@application.command('check')
+def check(
+    file: pathlib.Path,
+    program: typing.Annotated[
+        Program,
+        typer.Option('--program', help='The program that the file is for.'),
+    ] = Program.ENTRY,
+) -> None:
+    """Check a settings file and name every error."""
+    with common.report_errors():
+        loader.load(file, programs.MODELS[program.value])
+    typer.echo(f'{file}: good settings of {program.value}')
+
+
+@application.command('check-objects')
+def check_objects(file: pathlib.Path) -> None:
+    """Check a file of configuration objects as a whole."""
+    with common.report_errors():
+        puts = read_objects(file)
+        entry = change.Change(
+            revision=1,
+            author='check',
+            reason='check',
+            token='check',  # noqa: S106
+            at=0,
+            puts=puts,
+        )
+        references.check(configuration.Configuration(), entry)
+    typer.echo(f'{file}: {len(puts)} good objects')
+
+
+def read_objects(file: pathlib.Path) -> tuple[change.Put, ...]:
+    """Read a file of configuration objects.
+
+    Raises:
+        PaddleError: If it is malformed.
+    """
+    content = loader.read(file)
+    try:
+        return tuple(change.Put(**entry) for entry in content['objects'])
+    except (KeyError, TypeError) as error:
+        raise errors.ConfigurationError(
+            codes.OBJECT_INVALID,
+            f'{file}: a list "objects" of "kind" and "body" is needed',
+        ) from error
--- a/sapphirepaddle/cli/target.py
+++ b/sapphirepaddle/cli/target.py
@@ -9,7 +9,10 @@
 from sapphirepaddle.settings import loader, standins
 from sapphirepaddle.standins import target
 
-application = typer.Typer(add_completion=False)
+application = typer.Typer(
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
 
 
 async def serve_instance(
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -10,8 +10,8 @@
 
 from sapphirepaddle import clock, parts
 from sapphirepaddle.gateway import caller_connection, http_server
-from sapphirepaddle.operators import api
-from sapphirepaddle.peers import members
+from sapphirepaddle.operators import api, planner
+from sapphirepaddle.peers import members, messages
 from sapphirepaddle.settings import base, entry
 from sapphirepaddle.telemetry import counters, logs
 
@@ -35,6 +35,7 @@
         machine: The states and their order.
         tasks: Tasks that run until the stop.
         logger: Log of the life.
+        stop: Tells the daemon to stop.
     """
 
     def __init__(self, settings: entry.Entry) -> None:
@@ -57,10 +58,21 @@
         )
         self.tasks: list[asyncio.Task[None]] = []
         self.logger = logs.get('daemon')
+        self.stop = asyncio.Event()
+        handlers = self.parts.gossip.news.handlers
+        handlers[planner.LEAVE_TOPIC] = self.take_up_leave
 
     def note_state(self) -> None:
-        """Log a change of state."""
+        """Log a change of state and add it to the audit trail."""
         self.logger.info('state', state=self.state)
+        self.parts.audit.add(f'daemon-{self.state}', self.settings.vm)
+
+    def take_up_leave(self, item: messages.Item) -> None:
+        """Leave if an operator asked this VM to, after its start."""
+        asked_at = item.version / planner.MILLISECONDS
+        started_at = self.parts.mesh.own.incarnation / NANOSECONDS
+        if item.key == self.settings.vm and asked_at > started_at:
+            self.stop.set()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until told to stop, then stop without cutting off anything.
@@ -68,6 +80,7 @@
         Raises:
             OSError: If an address cannot be listened on.
         """
+        self.stop = stop
         sockets = open_sockets(self.settings)
         peers = await asyncio.start_server(
             self.parts.mesh.accept,
@@ -120,6 +133,7 @@
             held.keeper.run(),
             held.evidence.run(),
             held.prober.run(),
+            held.audit.run(),
             self.meet_seeds(),
             self.upkeep(),
         )
@@ -196,6 +210,7 @@
         """Hand over roles, then end peer connections and tasks."""
         await asyncio.gather(*self.parts.orders.tasks, return_exceptions=True)
         await self.parts.keeper.review()
+        await self.parts.audit.flush()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -206,6 +221,7 @@
 
 
 VERSIONS_A_SECOND: typing.Final = 1000000
+NANOSECONDS: typing.Final = 1000000000
 
 
 def open_sockets(settings: entry.Entry) -> list[socket.socket]:
--- a/sapphirepaddle/fleet/evidence.py
+++ b/sapphirepaddle/fleet/evidence.py
@@ -5,6 +5,7 @@
 import typing
 
 from sapphirepaddle import clock
+from sapphirepaddle.audit import trail
 from sapphirepaddle.gateway import dispatch
 from sapphirepaddle.peers import gossip, members, mesh, messages
 from sapphirepaddle.routing import (
@@ -43,6 +44,7 @@
         judge: Judges the targets that fall to this VM.
         ticks: Rounds so far.
         logger: Log of verdicts.
+        audit: The audit trail, if there is one.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.judge = judge.Judge(known.own, settings)
         self.ticks = 0
         self.logger = logs.get('evidence')
+        self.audit: trail.AuditTrail | None = None
         self.mesh.answerers[messages.Report] = self.take_up
         spread.news.handlers[TOPIC] = self.take_up_verdict
         spread.news.handlers[DRAINING_TOPIC] = self.take_up_draining
@@ -181,6 +184,7 @@
         """Spread the verdicts that change now."""
         daemons = len(self.known.live())
         for fresh in self.judge.decide(now, daemons):
+            self.note(fresh)
             self.gossip.publish_version(
                 TOPIC,
                 fresh.target,
@@ -188,6 +192,19 @@
                 fresh.encode(),
             )
 
+    def note(self, fresh: verdict.Verdict) -> None:
+        """Add a verdict of this judge to the audit trail."""
+        if self.audit is None:
+            return
+        held = self.table.verdicts.get(fresh.target)
+        self.audit.add(
+            f'target-{fresh.standing.value}',
+            fresh.target,
+            before=held.standing.value if held else 'healthy',
+            after=f'{fresh.standing.value}, epoch {fresh.epoch}',
+            reason=fresh.reason,
+        )
+
     def spread_draining(self) -> None:
         """Spread drain signals that answers carried."""
         for room in self.table.rooms.values():
--- a/sapphirepaddle/fleet/watcher.py
+++ b/sapphirepaddle/fleet/watcher.py
@@ -10,6 +10,7 @@
 from collections import abc
 
 from sapphirepaddle import clock, errors
+from sapphirepaddle.audit import trail
 from sapphirepaddle.fleet import configuration_sync, freshness
 from sapphirepaddle.peers import gossip, members
 from sapphirepaddle.platform import change_log, store, stored
@@ -39,6 +40,7 @@
         since: Version of the newest object seen.
         logger: Log of the platform's silence.
         silent: Whether the platform was silent at the last call.
+        audit: The audit trail, if there is one.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.since = 0
         self.logger = logs.get('platform')
         self.silent = False
+        self.audit: trail.AuditTrail | None = None
         spread.news.handlers[members.TOPIC] = self.take_up_vm
 
     def take_up_vm(self, item: typing.Any) -> None:
@@ -137,15 +140,22 @@
         """Log the start of the platform's silence."""
         if not self.silent:
             self.logger.warning('platform silent', detail=str(error))
+            self.note('platform-silent')
         self.silent = True
 
     def note_answer(self) -> None:
         """Note an answer and log the end of a silence."""
         if self.silent:
             self.logger.warning('platform answers again')
+            self.note('platform-answers')
         self.silent = False
         self.freshness.note_platform(clock.monotonic())
 
+    def note(self, action: str) -> None:
+        """Add what happened to the platform to the audit trail."""
+        if self.audit is not None:
+            self.audit.add(action, self.known.own)
+
     async def read_list(self) -> None:
         """Read the list of VMs and spread what changed.
 
--- a/sapphirepaddle/limits/keeper.py
+++ b/sapphirepaddle/limits/keeper.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from sapphirepaddle import clock, errors
+from sapphirepaddle.audit import trail
 from sapphirepaddle.limits import owner, ownership
 from sapphirepaddle.peers import gossip, members, mesh, messages, ring
 from sapphirepaddle.platform import store, stored
@@ -34,6 +35,7 @@
         counters: Totals for metrics.
         logger: Log of moves.
         leaving: Whether this VM leaves.
+        audit: The audit trail, if there is one.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.counters = totals
         self.logger = logs.get('quota')
         self.leaving = False
+        self.audit: trail.AuditTrail | None = None
         spread.news.handlers[ownership.TOPIC] = self.take_up_news
 
     def take_up(self, held: stored.Stored) -> None:
@@ -69,6 +72,7 @@
     def take_up_news(self, item: messages.Item) -> None:
         """Take up news on the ownership."""
         held = ownership.ADAPTER.validate_json(item.payload)
+        self.counters.add('owners_known')
         self.owner.take_up(held, item.version, clock.monotonic())
 
     async def run(self) -> None:
@@ -191,11 +195,23 @@
             await self.read_back(given)
             raise
         self.counters.add('partitions_moved', '', len(moves))
-        self.logger.info('partitions moved', count=len(moves))
+        self.note(moves, written.version)
         self.take_up(
             stored.Stored(ownership.KEY, held.encode(), written.version),
         )
 
+    def note(self, moves: dict[int, str], version: int) -> None:
+        """Log moved partitions and add them to the audit trail."""
+        self.logger.info('partitions moved', count=len(moves))
+        if self.audit is not None:
+            names = sorted(set(moves.values()))
+            self.audit.add(
+                'quota-moved',
+                f'{len(moves)} partitions',
+                after=f'version {version}: to {", ".join(names)}',
+                reason='leaving' if self.leaving else 'balance',
+            )
+
     async def read_back(self, given: abc.Iterable[int]) -> None:
         """Read what came of an update whose answer was lost.
 
--- /dev/null
+++ b/sapphirepaddle/operators/intents.py
@@ -0,0 +1,234 @@
+"""The intents."""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from sapphirepaddle.objects import change, client_account, key, kinds
+from sapphirepaddle.operators import intent
+
+ZONE: typing.Final = 'availability_zone'
+TARGET: typing.Final = 'target'
+KEY: typing.Final = 'key'
+ACCOUNT: typing.Final = 'client_account'
+parse = intent.parse
+FORBID: typing.Final = pydantic.ConfigDict(extra='forbid')
+
+
+@intent.register('empty-zone')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EmptyZone(intent.Intent):
+    """Give the targets of an availability zone no new work.
+
+    Attributes:
+        zone: Name of the zone.
+    """
+
+    __pydantic_config__ = FORBID
+
+    zone: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the change of the zone."""
+        held = intent.find(current, ZONE, self.zone)
+        return intent.Draft([intent.put(ZONE, held, state='emptied')])
+
+
+@intent.register('refill-zone')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RefillZone(intent.Intent):
+    """Give the targets of an availability zone work again.
+
+    Attributes:
+        zone: Name of the zone.
+    """
+
+    __pydantic_config__ = FORBID
+
+    zone: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the change of the zone."""
+        held = intent.find(current, ZONE, self.zone)
+        return intent.Draft([intent.put(ZONE, held, state='active')])
+
+
+@intent.register('drain-target')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DrainTarget(intent.Intent):
+    """Give a target no new work.
+
+    Attributes:
+        target: Name of the target.
+    """
+
+    __pydantic_config__ = FORBID
+
+    target: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the change of the target."""
+        held = intent.find(current, TARGET, self.target)
+        return intent.Draft([intent.put(TARGET, held, state='draining')])
+
+
+@intent.register('return-target')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReturnTarget(intent.Intent):
+    """Give a drained target work again.
+
+    Attributes:
+        target: Name of the target.
+    """
+
+    __pydantic_config__ = FORBID
+
+    target: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the change of the target."""
+        held = intent.find(current, TARGET, self.target)
+        return intent.Draft([intent.put(TARGET, held, state='active')])
+
+
+@intent.register('give-key')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GiveKey(intent.Intent):
+    """Give a client account one more key.
+
+    Attributes:
+        account: Name of the client account.
+        digest: SHA-256 digest of the key in hexadecimal.
+    """
+
+    __pydantic_config__ = FORBID
+
+    account: str
+    digest: typing.Annotated[str, pydantic.Field(pattern=key.DIGEST_PATTERN)]
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the new key."""
+        intent.find(current, ACCOUNT, self.account)
+        body = {'name': self.digest, 'account': self.account}
+        return intent.Draft([change.Put(kind=KEY, body=body)])
+
+
+@intent.register('withdraw-key')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WithdrawKey(intent.Intent):
+    """Stop a key for good.
+
+    Attributes:
+        digest: SHA-256 digest of the key in hexadecimal.
+    """
+
+    __pydantic_config__ = FORBID
+
+    digest: typing.Annotated[str, pydantic.Field(pattern=key.DIGEST_PATTERN)]
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the change of the key, which also spreads as news."""
+        held = intent.find(current, KEY, self.digest)
+        return intent.Draft(
+            [intent.put(KEY, held, withdrawn=True)],
+            withdrawn=[self.digest],
+        )
+
+
+@intent.register('set-account')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SetAccount(intent.Intent):
+    """Create a client account or change its room.
+
+    Attributes:
+        account: Name of the client account.
+        rate: Requests a second; unchanged if not given.
+        burst: Requests at once; unchanged if not given.
+        weight: Share of a scarce service; unchanged if not given.
+    """
+
+    __pydantic_config__ = FORBID
+
+    account: kinds.Name
+    rate: float | None = None
+    burst: float | None = None
+    weight: float | None = None
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the account with the given fields changed."""
+        held = current.accounts.get(self.account)
+        if held is None:
+            held = client_account.ClientAccount(
+                name=self.account,
+                rate=1,
+                burst=1,
+            )
+        given = {
+            'rate': self.rate,
+            'burst': self.burst,
+            'weight': self.weight,
+        }
+        fields = {
+            name: value for name, value in given.items() if value is not None
+        }
+        return intent.Draft([intent.put(ACCOUNT, held, **fields)])
+
+
+@intent.register('put-object')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PutObject(intent.Intent):
+    """Create or replace configuration objects.
+
+    Attributes:
+        objects: The objects.
+    """
+
+    __pydantic_config__ = FORBID
+
+    objects: tuple[change.Put, ...]
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the objects."""
+        return intent.Draft(list(self.objects))
+
+
+@intent.register('delete-object')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DeleteObject(intent.Intent):
+    """Delete a configuration object.
+
+    Attributes:
+        kind: Name of the kind.
+        name: Name of the object.
+    """
+
+    __pydantic_config__ = FORBID
+
+    kind: str
+    name: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the deletion."""
+        intent.find(current, self.kind, self.name)
+        return intent.Draft(
+            deletes=[change.Delete(kind=self.kind, name=self.name)],
+        )
+
+
+@intent.register('stop-vm')
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopVm(intent.Intent):
+    """Ask the daemon of a VM to stop without cutting off a request.
+
+    Attributes:
+        vm: Name of the VM.
+    """
+
+    __pydantic_config__ = FORBID
+
+    vm: str
+
+    def draft(self, current: intent.Configuration) -> intent.Draft:
+        """Return the request to leave."""
+        return intent.Draft(leaving=[self.vm])
--- a/sapphirepaddle/parts.py
+++ b/sapphirepaddle/parts.py
@@ -4,6 +4,7 @@
 import time
 
 from sapphirepaddle import clock
+from sapphirepaddle.audit import trail
 from sapphirepaddle.claims import ledger, orders
 from sapphirepaddle.fleet import (
     configuration_sync,
@@ -16,6 +17,7 @@
 from sapphirepaddle.gateway import app, dispatch, in_force
 from sapphirepaddle.limits import keeper, owner, ownership, quota
 from sapphirepaddle.objects import client_account
+from sapphirepaddle.operators import planner
 from sapphirepaddle.peers import gossip, handshake, members, mesh, messages
 from sapphirepaddle.platform import remote
 from sapphirepaddle.routing import table
@@ -44,6 +46,9 @@
         keeper: Ownership of quota.
         status: Statuses of daemons.
         orders: Running of claimed requests.
+        limits: Admission of requests.
+        audit: The audit trail.
+        planner: Plans of operators.
         gateway: Serving of callers.
     """
 
@@ -61,6 +66,7 @@
         self.connect_targets()
         self.connect_limits()
         self.connect_callers()
+        self.connect_operators()
         self.current.listeners.append(self.reconfigure)
 
     def connect_peers(self) -> None:
@@ -166,7 +172,7 @@
             self.dispatcher,
             self.counters,
         )
-        limits = quota.QuotaLimiter(
+        self.limits = quota.QuotaLimiter(
             settings.limits,
             self.owner,
             self.mesh,
@@ -175,13 +181,35 @@
         self.gateway = app.Gateway(
             settings.caller_limits,
             self.current,
-            limits,
+            self.limits,
             self.dispatcher,
             self.counters,
         )
         self.gateway.run_order = self.orders.run
         self.gateway.is_isolated = self.is_isolated
 
+    def connect_operators(self) -> None:
+        """Create what serves operators."""
+        settings = self.settings
+        self.audit = trail.AuditTrail(
+            settings.vm,
+            self.mesh.own.incarnation,
+            self.store,
+            self.counters,
+            settings.audit.retention_days,
+        )
+        self.audit.may_prune = self.watcher.is_watcher
+        self.planner = planner.Planner(
+            self.sync,
+            self.store,
+            self.gossip,
+            self.dispatcher.table,
+            self.audit,
+        )
+        self.evidence.audit = self.audit
+        self.keeper.audit = self.audit
+        self.watcher.audit = self.audit
+
     def find_account(self, name: str) -> client_account.ClientAccount | None:
         """Return a client account in force."""
         return self.current.configuration.accounts.get(name)
--- /dev/null
+++ b/sapphirepaddle/replay/measures.py
@@ -0,0 +1,168 @@
+"""The users' measures of a replay; pure."""
+
+import collections
+import dataclasses
+import math
+import typing
+from collections import abc
+
+from sapphirepaddle.replay import accounts, checks, detection, plan, sent, trace
+
+MILLISECONDS: typing.Final = 1000
+PERCENT: typing.Final = 100
+MEDIAN: typing.Final = 50
+MOST: typing.Final = 99
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Measures:
+    """All measures of a replay.
+
+    Attributes:
+        sent: Requests sent.
+        served: Requests served.
+        refusals: Refusals by result code.
+        unanswered: Requests without a whole answer.
+        median_ms: Time to the answer, at the median.
+        most_ms: Time to the answer, for 99 in 100.
+        worst_ratio: Lowest ratio of an account.
+        best_ratio: Highest ratio of an account.
+        refused_within: Requests refused as over rate although within it.
+        score: Units for reads served and orders run exactly once.
+        possible_score: Units if every request within rate were served.
+        runs_twice: Orders that ran more than once.
+        not_run_false: Refusals that said "not run" of requests that ran.
+        crossed: Served answers that name another request.
+        keys_seen: Runs at which a target saw a key.
+        over_rate: Largest excess of an account's runs over rate and burst.
+        detection_median: Seconds to the ejection of a faulty target, median.
+        detection_most: Seconds to the ejection at worst.
+        undetected: Faulty targets that were not ejected.
+        false_ejections: Ejections of targets without a fault.
+        fared: By client account.
+    """
+
+    sent: int
+    served: int
+    refusals: dict[int, int]
+    unanswered: int
+    median_ms: float
+    most_ms: float
+    worst_ratio: float
+    best_ratio: float
+    refused_within: int
+    score: float
+    possible_score: float
+    runs_twice: int
+    not_run_false: int
+    crossed: int
+    keys_seen: int
+    over_rate: float
+    detection_median: float
+    detection_most: float
+    undetected: int
+    false_ejections: int
+    fared: tuple[accounts.AccountMeasure, ...]
+
+
+def percentile(numbers: abc.Sequence[float], percent: float) -> float:
+    """Return a percentile; 0 if there are none."""
+    if not numbers:
+        return 0
+    ordered = sorted(numbers)
+    place = math.ceil(len(ordered) * percent / PERCENT) - 1
+    return ordered[max(0, place)]
+
+
+def measure(
+    recorded: trace.Trace,
+    bench: plan.Bench,
+    results: abc.Sequence[sent.Sent],
+    runs: abc.Sequence[sent.Run],
+    ejections: abc.Sequence[sent.Ejection],
+) -> Measures:
+    """Measure a replay.
+
+    Args:
+        recorded: The trace.
+        bench: What it ran against.
+        results: What became of the requests.
+        runs: Execution logs of all targets.
+        ejections: Ejections in the audit trail.
+    """
+    fared = [
+        accounts.measure_account(name, group, bench.accounts[name])
+        for name, group in sorted(accounts.by_account(results).items())
+        if name in bench.accounts
+    ]
+    counts = collections.Counter(run.identifier for run in runs)
+    served = [result for result in results if accounts.is_served(result)]
+    times = [result.seconds * MILLISECONDS for result in served]
+    ratios = [entry.ratio for entry in fared]
+    found = detection.measure(recorded, ejections)
+    refusals = collections.Counter(
+        result.code for result in results if result.code
+    )
+    return Measures(
+        sent=len(results),
+        served=len(served),
+        refusals=dict(sorted(refusals.items())),
+        unanswered=sum(result.status == 0 for result in results),
+        median_ms=round(percentile(times, MEDIAN), 1),
+        most_ms=round(percentile(times, MOST), 1),
+        worst_ratio=min(ratios, default=1),
+        best_ratio=max(ratios, default=1),
+        refused_within=sum(entry.refused_within for entry in fared),
+        score=score(recorded, bench, served, counts),
+        possible_score=possible(recorded, bench, results, fared),
+        runs_twice=checks.count_twice(bench, results, counts),
+        not_run_false=checks.count_untrue(results, counts),
+        crossed=sum(not result.echoed for result in served),
+        keys_seen=sum(run.saw_key for run in runs),
+        over_rate=checks.over_rate(bench, results, runs),
+        detection_median=found.median,
+        detection_most=found.most,
+        undetected=found.undetected,
+        false_ejections=detection.count_false(recorded, ejections),
+        fared=tuple(fared),
+    )
+
+
+def score(
+    recorded: trace.Trace,
+    bench: plan.Bench,
+    served: abc.Sequence[sent.Sent],
+    counts: abc.Mapping[str, int],
+) -> float:
+    """Return the units for reads served and orders run exactly once."""
+    reads = sum(not checks.is_order(result, bench) for result in served)
+    orders = {
+        result.identifier
+        for result in served
+        if checks.is_order(result, bench)
+        and counts.get(result.identifier, 0) == 1
+    }
+    head = recorded.head
+    return reads * head.read_score + len(orders) * head.order_score
+
+
+def possible(
+    recorded: trace.Trace,
+    bench: plan.Bench,
+    results: abc.Sequence[sent.Sent],
+    fared: abc.Sequence[accounts.AccountMeasure],
+) -> float:
+    """Return the units if every request within rate were served.
+
+    Requests beyond the rate are taken off at the lower score.
+    """
+    head = recorded.head
+    orders = {
+        result.identifier
+        for result in results
+        if checks.is_order(result, bench)
+    }
+    reads = sum(not checks.is_order(result, bench) for result in results)
+    beyond = sum(entry.sent - entry.within for entry in fared)
+    lost = beyond * min(head.read_score, head.order_score)
+    return reads * head.read_score + len(orders) * head.order_score - lost
--- /dev/null
+++ b/sapphirepaddle/replay/sender.py
@@ -0,0 +1,160 @@
+"""Sending the requests of a trace at their times, open loop."""
+
+import asyncio
+import itertools
+import time
+import typing
+
+import aiosonic
+import orjson
+import typer
+from aiosonic import connectors, pools
+
+from sapphirepaddle.platform import remote
+from sapphirepaddle.replay import plan, sent, trace
+
+CONNECTIONS: typing.Final = 2000
+ANSWER_SECONDS: typing.Final = 60
+PROGRESS_SECONDS: typing.Final = 5
+POST: typing.Final = 'POST'
+
+
+class Sender:
+    """Sends requests whether or not earlier ones were answered.
+
+    Attributes:
+        bench: What it runs against.
+        run_identifier: Makes identifiers differ between replays.
+        client: The HTTP client.
+        results: What became of the requests.
+        started: Start of the trace on the monotonic clock.
+    """
+
+    def __init__(self, bench: plan.Bench, run_identifier: str) -> None:
+        """Prepare a client with many connections."""
+        self.bench = bench
+        self.run_identifier = run_identifier
+        pool = pools.PoolConfig(size=CONNECTIONS, max_conn_requests=None)
+        self.client = aiosonic.HTTPClient(
+            connectors.TCPConnector(pool_configs={':default': pool}),
+        )
+        self.results: list[sent.Sent] = []
+        self.started: float = 0
+
+    async def run(self, recorded: trace.Trace, progress: bool) -> None:
+        """Send everything, with the faults, and wait for all answers."""
+        self.started = time.monotonic()
+        showing = asyncio.create_task(self.show(recorded, progress))
+        faults = asyncio.create_task(self.bring_about(recorded))
+        turns = itertools.count()
+        tasks = []
+        for number, request in enumerate(recorded.requests):
+            await self.until(request.at)
+            place = next(turns) if request.daemon is None else request.daemon
+            tasks.append(
+                asyncio.create_task(self.send(request, number, place)),
+            )
+        await asyncio.gather(*tasks)
+        await faults
+        showing.cancel()
+        await self.client.aclose()
+
+    async def until(self, at: float) -> None:
+        """Wait for a time of the trace."""
+        pause = self.started + at - time.monotonic()
+        if pause > 0:
+            await asyncio.sleep(pause)
+
+    async def show(self, recorded: trace.Trace, wanted: bool) -> None:
+        """Show progress on long runs."""
+        total = len(recorded.requests)
+        while wanted:
+            await asyncio.sleep(PROGRESS_SECONDS)
+            typer.echo(f'{len(self.results)} of {total} answered', err=True)
+
+    async def bring_about(self, recorded: trace.Trace) -> None:
+        """Bring about the faults at their times."""
+        for fault in recorded.faults:
+            await self.until(fault.at)
+            if fault.platform:
+                url = f'{self.bench.platform}/control/faults'
+            else:
+                url = f'{self.bench.targets[fault.target]}/control/modes'
+            await self.client.request(
+                url,
+                POST,
+                data=orjson.dumps(fault.modes),
+            )
+
+    async def send(
+        self,
+        request: trace.Request,
+        number: int,
+        place: int,
+    ) -> None:
+        """Send one request and note what became of it."""
+        identifier = request.order or f'{self.run_identifier}-{number}'
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                status, headers, body = await self.exchange(
+                    request,
+                    identifier,
+                    place,
+                )
+        except remote.FAILURES:
+            status, headers, body = 0, {}, b''
+        self.results.append(
+            sent.Sent(
+                request=request,
+                identifier=identifier,
+                at=started - self.started,
+                status=status,
+                code=int(headers.get('x-result-code', 0)),
+                run=headers.get('x-run', ''),
+                seconds=time.monotonic() - started,
+                echoed=names(body, request, identifier),
+            ),
+        )
+
+    async def exchange(
+        self,
+        request: trace.Request,
+        identifier: str,
+        place: int,
+    ) -> tuple[int, typing.Any, bytes]:
+        """Send one request and read its whole answer."""
+        callers = self.bench.callers
+        headers = {
+            'Authorization': f'Bearer {self.key_of(request.account)}',
+            'X-Test-Id': identifier,
+            'X-Test-Account': request.account,
+        }
+        if request.order:
+            headers['Idempotency-Key'] = request.order
+        answer = await self.client.request(
+            callers[place % len(callers)] + request.path,
+            request.method,
+            headers=headers,
+            data=b'.' * request.size or None,
+            timeouts=remote.NO_TIMEOUTS,
+        )
+        body = await answer.content()
+        return answer.status_code, answer.headers, body
+
+    def key_of(self, account: str) -> str:
+        """Return a key of an account; a wrong one if it has none."""
+        held = self.bench.accounts.get(account)
+        return held.key if held else 'no-such-key'
+
+
+def names(body: bytes, request: trace.Request, identifier: str) -> bool:
+    """Tell whether an answer names this request."""
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return False
+    path = request.path.partition('?')[0]
+    if not isinstance(content, dict):
+        return False
+    return content.get('path') == path and content.get('order') == identifier
--- /dev/null
+++ b/sapphirepaddle/replay/sent.py
@@ -0,0 +1,58 @@
+"""What became of the requests of a replay."""
+
+import dataclasses
+
+from sapphirepaddle.replay import trace
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sent:
+    """One request and its answer.
+
+    Attributes:
+        request: The request.
+        identifier: Test identifier by which runs are counted.
+        at: When it was sent, from the start of the trace.
+        status: HTTP status; 0 if there was no whole answer.
+        code: Result code of a refusal; 0 for none.
+        run: What a refusal states about the run.
+        seconds: Time to the whole answer.
+        echoed: Whether the answer names this request.
+    """
+
+    request: trace.Request
+    identifier: str
+    at: float
+    status: int
+    code: int
+    run: str
+    seconds: float
+    echoed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One run in a target's execution log.
+
+    Attributes:
+        identifier: Test identifier or idempotency key.
+        at: Seconds from the start of the trace.
+        saw_key: Whether the target saw a key.
+    """
+
+    identifier: str
+    at: float
+    saw_key: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ejection:
+    """One ejection in the audit trail.
+
+    Attributes:
+        target: Name of the target.
+        at: Seconds from the start of the trace.
+    """
+
+    target: str
+    at: float
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -156,6 +156,16 @@
     ask_seconds: base.Seconds = 1
 
 
+class Audit(base.Settings):
+    """The audit trail.
+
+    Attributes:
+        retention_days: Days after which entries are deleted.
+    """
+
+    retention_days: base.Count = 30
+
+
 class Stop(base.Settings):
     """Planned stop.
 
@@ -205,4 +215,5 @@
     routing: Routing = Routing()
     limits: Limits = Limits()
     claims: Claims = Claims()
+    audit: Audit = Audit()
     stop: Stop = Stop()
--- a/sapphirepaddle/standins/fleet.py
+++ b/sapphirepaddle/standins/fleet.py
@@ -20,6 +20,7 @@
 OPERATOR_TOKEN: typing.Final = 'operator-token-of-the-demonstration'
 READER_TOKEN: typing.Final = 'reader-token-of-the-demonstration'
 START_SECONDS: typing.Final = 30
+QUOTA_GRACE_SECONDS: typing.Final = 1.5
 CALL_SECONDS: typing.Final = 2
 Json = dict[str, typing.Any]
 Puts = abc.Sequence[change.Put]
@@ -244,6 +245,26 @@
                     f'{name} ready',
                 )
 
+    def wait_quota(self, seconds: float = START_SECONDS) -> None:
+        """Wait until every running daemon knows the owners of quota.
+
+        Raises:
+            TimeoutError: If one does not in time.
+        """
+        for name in self.daemons:
+            if self.programs[name].is_running():
+                processes.wait_for(
+                    functools.partial(self.knows_owners, name),
+                    seconds,
+                    f'{name} knows the owners of quota',
+                )
+        time.sleep(QUOTA_GRACE_SECONDS)
+
+    def knows_owners(self, name: str) -> bool:
+        """Tell whether a daemon knows the owners of quota."""
+        url = f'{self.daemons[name].operators_url}/metrics'
+        return b'paddle_owners_known' in http_call.call(url).body
+
     def accept(
         self, puts: Puts, deletes: abc.Sequence[change.Delete] = ()
     ) -> None:
