--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(VENV)/bin/paddle-demo $(DEMO_OPTIONS)
 
 test: setup
-	$(VENV)/bin/python -m unittest discover --start-directory tests --top-level-directory .
+	$(VENV)/bin/python -m tests
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -150,7 +150,7 @@
         """Tell the fleet that this VM lives or leaves."""
         version = int(clock.wall() * VERSIONS_A_SECOND)
         own = members.own_item(
-            self.settings.peers,
+            self.settings.peers_advertised or self.settings.peers,
             self.settings.availability_zone,
             state,
         )
--- a/sapphirepaddle/limits/quota.py
+++ b/sapphirepaddle/limits/quota.py
@@ -20,6 +20,7 @@
 LEAST_PAUSE_SECONDS: typing.Final = 0.01
 MOST_PAUSE_SECONDS: typing.Final = 0.1
 MOST_ACCOUNTS: typing.Final = 10000
+SILENT_SECONDS: typing.Final = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +55,8 @@
         mesh: The peer connections.
         counters: Totals for metrics.
         demands: Accounts served here by name.
+        silent_until: End of the time for which an owner that did not
+            answer is passed over, by VM.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self.mesh = peers
         self.counters = totals
         self.demands: dict[str, Demand] = {}
+        self.silent_until: dict[str, float] = {}
         peers.answerers[messages.TokensAsk] = self.answer
 
     def answer(
@@ -234,6 +238,8 @@
         name = self.owner.held.owners.get(question.partition, '')
         if name == self.owner.vm:
             return self.answer(question, name)
+        if self.silent_until.get(name, 0) > clock.monotonic():
+            return messages.Tokens(0, 0, owned=False)
         try:
             return await self.mesh.ask(
                 name,
@@ -242,6 +248,8 @@
             )
         except errors.PeerError:
             self.counters.add('owners_silent')
+            until = clock.monotonic() + SILENT_SECONDS
+            self.silent_until[name] = until
             return messages.Tokens(0, 0, owned=False)
 
 
--- a/sapphirepaddle/replay/checks.py
+++ b/sapphirepaddle/replay/checks.py
@@ -1,6 +1,5 @@
 """Counts of what must never happen in a replay; pure."""
 
-import collections
 import itertools
 import math
 from collections import abc
@@ -47,43 +46,35 @@
 
 def count_untrue(
     results: abc.Iterable[sent.Sent],
-    counts: abc.Mapping[str, int],
+    runs: abc.Iterable[sent.Run],
 ) -> int:
-    """Return the refusals that said "not run" of requests that ran.
-
-    A key that was sent several times may have run for another sending of
-    it, so only requests sent once are counted.
-    """
-    sendings = collections.Counter(result.identifier for result in results)
+    """Return the sendings refused as "not run" that ran."""
+    ran = {run.sending for run in runs}
     return sum(
-        result.run == codes.NOT_RUN
-        and sendings[result.identifier] == 1
-        and counts.get(result.identifier, 0) > 0
+        result.run == codes.NOT_RUN and result.sending in ran
         for result in results
     )
 
 
 def over_rate(
     bench: plan.Bench,
-    results: abc.Sequence[sent.Sent],
-    runs: abc.Sequence[sent.Run],
+    runs: abc.Iterable[sent.Run],
 ) -> float:
-    """Return the largest excess of an account's first runs."""
-    owners = {result.identifier: result.request.account for result in results}
-    first: dict[str, float] = {}
+    """Return the largest excess of an account's sendings that ran.
+
+    A read that was tried again counts once, at its first run.
+    """
+    first: dict[tuple[str, str], float] = {}
     for run in runs:
-        first.setdefault(run.identifier, run.at)
-    accounts = sorted(
-        (owners[identifier], at)
-        for identifier, at in first.items()
-        if owners.get(identifier) in bench.accounts
-    )
+        if run.account in bench.accounts:
+            first.setdefault((run.account, run.sending), run.at)
+    admitted = sorted((account, at) for (account, _), at in first.items())
     found = [
         excess(
             [at for _, at in group],
             bench.accounts[name].rate,
             bench.accounts[name].burst,
         )
-        for name, group in itertools.groupby(accounts, lambda pair: pair[0])
+        for name, group in itertools.groupby(admitted, lambda pair: pair[0])
     ]
-    return round(max(found, default=-math.inf), 2) if found else 0
+    return round(max(found), 2) if found else 0
--- a/sapphirepaddle/replay/replay.py
+++ b/sapphirepaddle/replay/replay.py
@@ -89,6 +89,8 @@
     runs = [
         sent.Run(
             identifier=execution['order'],
+            sending=execution['sending'],
+            account=execution['account'],
             at=execution['at'] - started,
             saw_key=execution['saw_key'],
         )
--- a/sapphirepaddle/replay/sender.py
+++ b/sapphirepaddle/replay/sender.py
@@ -93,13 +93,14 @@
         place: int,
     ) -> None:
         """Send one request and note what became of it."""
-        identifier = request.order or f'{self.run_identifier}-{number}'
+        sending = f'{self.run_identifier}-{number}'
+        identifier = request.order or sending
         started = time.monotonic()
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 status, headers, body = await self.exchange(
                     request,
-                    identifier,
+                    sending,
                     place,
                 )
         except remote.FAILURES:
@@ -108,6 +109,7 @@
             sent.Sent(
                 request=request,
                 identifier=identifier,
+                sending=sending,
                 at=started - self.started,
                 status=status,
                 code=int(headers.get('x-result-code', 0)),
@@ -120,14 +122,14 @@
     async def exchange(
         self,
         request: trace.Request,
-        identifier: str,
+        sending: str,
         place: int,
     ) -> tuple[int, typing.Any, bytes]:
         """Send one request and read its whole answer."""
         callers = self.bench.callers
         headers = {
             'Authorization': f'Bearer {self.key_of(request.account)}',
-            'X-Test-Id': identifier,
+            'X-Test-Id': sending,
             'X-Test-Account': request.account,
         }
         if request.order:
--- a/sapphirepaddle/replay/sent.py
+++ b/sapphirepaddle/replay/sent.py
@@ -11,7 +11,9 @@
 
     Attributes:
         request: The request.
-        identifier: Test identifier by which runs are counted.
+        identifier: Idempotency key or identifier of the sending; runs are
+            counted by it.
+        sending: Identifier of this sending.
         at: When it was sent, from the start of the trace.
         status: HTTP status; 0 if there was no whole answer.
         code: Result code of a refusal; 0 for none.
@@ -22,6 +24,7 @@
 
     request: trace.Request
     identifier: str
+    sending: str
     at: float
     status: int
     code: int
@@ -35,12 +38,16 @@
     """One run in a target's execution log.
 
     Attributes:
-        identifier: Test identifier or idempotency key.
+        identifier: Idempotency key or identifier of the sending.
+        sending: Identifier of the sending that ran.
+        account: Client account that the sender noted.
         at: Seconds from the start of the trace.
         saw_key: Whether the target saw a key.
     """
 
     identifier: str
+    sending: str
+    account: str
     at: float
     saw_key: bool
 
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -187,6 +187,8 @@
         availability_zone: Name of its availability zone.
         callers: Where callers connect.
         peers: Where other daemons connect.
+        peers_advertised: Where other daemons reach the peer listener, if
+            that is another address than the one it listens on.
         operators: Where operators, health checks and metrics connect.
         platform: How the platform is reached.
         peer_secrets: Secrets shared by all daemons; the first signs, all
@@ -199,6 +201,7 @@
     availability_zone: str = pydantic.Field(min_length=1)
     callers: base.Listener
     peers: base.Listener
+    peers_advertised: base.Listener | None = None
     operators: base.Listener
     platform: base.Platform
     peer_secrets: tuple[
--- a/sapphirepaddle/standins/fleet.py
+++ b/sapphirepaddle/standins/fleet.py
@@ -16,6 +16,7 @@
 
 HOST: typing.Final = '127.0.0.1'
 PORT: typing.Final = 'port'
+HOST_FIELD: typing.Final = 'host'
 SECRET: typing.Final = 'secret-of-the-demonstration'
 OPERATOR_TOKEN: typing.Final = 'operator-token-of-the-demonstration'
 READER_TOKEN: typing.Final = 'reader-token-of-the-demonstration'
@@ -71,6 +72,7 @@
         platform_url: URL of the platform.
         list_lag: Lag of the platform's list in seconds.
         revision: Revision of the last change made here.
+        prelude: Python code that daemons run first.
     """
 
     def __init__(
@@ -88,17 +90,18 @@
         self.platform_url = ''
         self.list_lag = list_lag
         self.revision = 0
+        self.prelude = ''
 
     def start_platform(self) -> None:
         """Start the platform stand-in."""
         port = processes.free_port(HOST)
         self.platform_url = f'http://{HOST}:{port}'
         settings = {
-            'listener': {'host': HOST, PORT: port},
+            'listener': {HOST_FIELD: HOST, PORT: port},
             'list_lag_seconds': self.list_lag,
         }
         self.launch('platform', 'platform', settings)
-        self.wait_http(f'{self.platform_url}/vms')
+        self.wait_http('platform', f'{self.platform_url}/vms')
 
     def launch(self, name: str, program: str, settings: Json) -> None:
         """Start a program under a name."""
@@ -107,20 +110,33 @@
             program,
             settings,
             self.folder,
+            self.prelude if program == 'entry' else '',
         )
 
-    def wait_http(self, url: str) -> None:
-        """Wait until a URL answers.
+    def wait_http(self, name: str, url: str) -> None:
+        """Wait until a program answers.
 
         Raises:
             TimeoutError: If it does not.
+            ChildProcessError: If it ended.
         """
         processes.wait_for(
-            functools.partial(answers, url),
+            functools.partial(self.lives_and_answers, name, url),
             START_SECONDS,
             f'answer of {url}',
         )
 
+    def lives_and_answers(self, name: str, url: str) -> bool:
+        """Tell whether a program answers.
+
+        Raises:
+            ChildProcessError: If it ended.
+        """
+        program = self.programs[name]
+        if not program.is_running():
+            raise ChildProcessError(f'{name} ended: {program.tail()}')
+        return answers(url)
+
     def start_targets(
         self,
         puts: Puts,
@@ -145,7 +161,7 @@
             {
                 'name': put.name,
                 'listener': {
-                    'host': put.body['address'],
+                    HOST_FIELD: put.body['address'],
                     PORT: put.body[PORT],
                 },
                 'slots': slots[put.body['service']],
@@ -159,7 +175,7 @@
             listener = entry['listener']
             url = f'http://{listener["host"]}:{listener["port"]}'
             self.targets[entry['name']] = url
-        self.wait_http(f'{url}/control/executions')
+        self.wait_http(group, f'{url}/control/executions')
         return placed
 
     def place_daemon(self, name: str, zone: str, number: int) -> None:
@@ -181,16 +197,20 @@
         return {
             'vm': place_of.name,
             'availability_zone': place_of.zone,
-            'callers': {'host': place_of.host, PORT: place_of.callers},
-            'peers': {'host': place_of.host, PORT: place_of.peers},
-            'operators': {'host': place_of.host, PORT: place_of.operators},
+            'callers': {HOST_FIELD: place_of.host, PORT: place_of.callers},
+            'peers': {HOST_FIELD: place_of.host, PORT: place_of.peers},
+            'peers_advertised': {
+                HOST_FIELD: place_of.listed_peers[0],
+                'port': place_of.listed_peers[1],
+            },
+            'operators': {HOST_FIELD: place_of.host, PORT: place_of.operators},
             'platform': {
                 'url': self.platform_url,
                 'call_seconds': CALL_SECONDS,
             },
             'peer_secrets': [SECRET],
             'seeds': [
-                {'host': other.listed_peers[0], PORT: other.listed_peers[1]}
+                {HOST_FIELD: other.listed_peers[0], PORT: other.listed_peers[1]}
                 for other in self.daemons.values()
                 if other is not place_of
             ],
@@ -202,7 +222,10 @@
         }
 
     def start_daemon(self, name: str) -> None:
-        """Start a daemon at its place."""
+        """Start a daemon at its place, once its last process has ended."""
+        last = self.programs.get(name)
+        if last is not None:
+            last.process.wait()
         settings = self.settings_of(self.daemons[name])
         self.launch(name, 'entry', settings)
 
@@ -240,7 +263,7 @@
             if self.programs[name].is_running():
                 url = f'{place_of.operators_url}/ready'
                 processes.wait_for(
-                    functools.partial(answers, url),
+                    functools.partial(self.lives_and_answers, name, url),
                     seconds,
                     f'{name} ready',
                 )
--- a/sapphirepaddle/standins/processes.py
+++ b/sapphirepaddle/standins/processes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess  # noqa: S404
@@ -15,9 +16,13 @@
 PROGRAMS: typing.Final = 'sapphirepaddle.cli'
 POLL_SECONDS: typing.Final = 0.02
 END_SECONDS: typing.Final = 60
+TAIL_CHARACTERS: typing.Final = 2000
 RUN_MAIN: typing.Final = (
-    'import sys; from {package} import {name}; {name}.main()'
+    '{prelude}\nfrom {package} import {name}\n{name}.main()'
 )
+PORTS: typing.Final = (10000, 32000)
+
+taken: set[tuple[str, int]] = set()
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +75,10 @@
             self.kill()
             return self.process.returncode
 
+    def tail(self) -> str:
+        """Return the end of its log."""
+        return self.log.read_text(errors='replace')[-TAIL_CHARACTERS:]
+
     def is_running(self) -> bool:
         """Tell whether it runs."""
         return self.process.poll() is None
@@ -80,6 +89,7 @@
     program: str,
     settings: typing.Any,
     folder: pathlib.Path,
+    prelude: str = '',
 ) -> Program:
     """Start a program with settings.
 
@@ -88,11 +98,17 @@
         program: Module of its command line.
         settings: Settings as plain JSON values.
         folder: Where its settings and its log go.
+        prelude: Python code that runs first; a proof switches a mechanism
+            off with it.
     """
     path = folder / f'{name}.json'
     path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
     log = folder / f'{name}.log'
-    code = RUN_MAIN.format(package=PROGRAMS, name=program)
+    code = RUN_MAIN.format(
+        package=PROGRAMS,
+        name=program,
+        prelude=prelude,
+    )
     with log.open('ab') as output:
         process = subprocess.Popen(  # noqa: S603
             [sys.executable, '-c', code, '--settings', str(path)],
@@ -104,11 +120,27 @@
 
 
 def free_port(host: str) -> int:
-    """Return a TCP port that was free a moment ago."""
+    """Return a TCP port that is free and was not returned before.
+
+    It lies below the range from which the system takes the ports of
+    outgoing connections, so that none of these takes it meanwhile.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if (host, port) not in taken and is_free(host, port):
+            taken.add((host, port))
+            return port
+
+
+def is_free(host: str, port: int) -> bool:
+    """Tell whether an address can be listened on."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_for(
--- a/sapphirepaddle/standins/target.py
+++ b/sapphirepaddle/standins/target.py
@@ -34,6 +34,7 @@
         path: Path and query.
         identifier: Identifier of the attempt.
         order: The caller's idempotency key, or the test's own identifier.
+        sending: The test's identifier of this sending.
         account: The test's note of the client account.
         saw_key: Whether a key came with the request.
     """
@@ -43,6 +44,7 @@
     path: str
     identifier: str
     order: str
+    sending: str
     account: str
     saw_key: bool
 
@@ -237,6 +239,7 @@
         path=request.url.path,
         identifier=headers.get('x-request-id', ''),
         order=order_of(request),
+        sending=headers.get('x-test-id', ''),
         account=headers.get('x-test-account', ''),
         saw_key=any(name in headers for name in KEY_HEADERS),
     )
--- /dev/null
+++ b/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs over real processes."""
--- /dev/null
+++ b/tests/proofs/test_rate.py
@@ -0,0 +1,221 @@
+"""No client account gets more than its rate and burst over all VMs."""
+
+import itertools
+import time
+import unittest
+
+from sapphirepaddle import codes
+from sapphirepaddle.objects import change
+from sapphirepaddle.replay import accounts, checks, trace
+from tests.support import proof, relay
+
+RATE = 30
+BURST = 30
+FACTOR = 4
+SECONDS = 6
+
+
+class RateCase(proof.FleetCase):
+    """One account far over its rate, another within it."""
+
+    overrides = {
+        'stop': proof.QUICK_STOP,
+        'limits': {'reclaim_seconds': 2},
+    }
+
+    def objects(self) -> list[change.Put]:
+        """Return accounts with little room before large targets."""
+        return proof.deployment(slots=64, rate=RATE, burst=BURST)
+
+    def flood(self) -> list[trace.Request]:
+        """Return one account at several times its rate, skewed, and one
+        that keeps to two thirds of its rate."""
+        over = [
+            trace.Request(
+                at=number / (RATE * FACTOR),
+                account='guild',
+                path=f'/reads/{number}',
+                daemon=0 if number % 3 else number,
+            )
+            for number in range(RATE * FACTOR * SECONDS)
+        ]
+        calm = proof.reads(RATE * SECONDS * 2 // 3, RATE * 2 / 3, 'weavers')
+        return over + calm
+
+    def admitted(self, record: proof.Record, account: str) -> list[float]:
+        """Return the times of an account's sendings that ran."""
+        first: dict[str, float] = {}
+        for run in record.runs:
+            if run.account == account:
+                first.setdefault(run.sending, run.at)
+        return sorted(first.values())
+
+    def check(
+        self,
+        record: proof.Record,
+        rate: float = RATE,
+        burst: float = BURST,
+    ) -> None:
+        """Check every window, and print how the accounts fared."""
+        for account in ('guild', 'weavers'):
+            times = self.admitted(record, account)
+            most = checks.excess(times, rate, burst) if times else 0
+            self.assertLessEqual(most, 0, account)
+        results = accounts.by_account(record.results)['weavers']
+        refused = [
+            result
+            for result in results
+            if result.code == codes.OVER_RATE.number
+        ]
+        over = accounts.by_account(record.results)['guild']
+        served = sum(map(accounts.is_served, over))
+        possible = accounts.count_within(
+            sorted(result.at for result in over),
+            rate,
+            burst,
+        )
+        print(
+            f'\n{self.id()}: over-rate account served {served} of '
+            f'{possible} possible; within-rate account refused '
+            f'{len(refused)} of {len(results)}',
+        )
+
+    def owner_of_most(self) -> str:
+        """Return a daemon that callers of the trace do not lean on."""
+        return 'vm4'
+
+
+class TestCalm(RateCase):
+    """Nothing fails."""
+
+    def test_skewed_flood(self) -> None:
+        """One daemon gets two thirds of the flood."""
+        self.check(self.play(self.flood()))
+
+
+class TestPlatformSilent(RateCase):
+    """The platform is silent throughout."""
+
+    def test_outage(self) -> None:
+        """Quota goes on being served."""
+        self.fleet.fault_platform(down=True)
+        self.check(self.play(self.flood()))
+
+
+class TestLostDaemons(RateCase):
+    """Daemons die, pause, start and stop."""
+
+    def test_killed_and_reclaimed(self) -> None:
+        """A daemon is killed, delisted, and its quota is reclaimed."""
+        others = [name for name in self.fleet.daemons if name != 'vm4']
+        record = self.play(
+            self.flood(),
+            [
+                (1, self.fleet.programs['vm4'].kill),
+                (1.5, lambda: self.fleet.list_vms(others)),
+            ],
+        )
+        self.check(record)
+
+    def test_frozen_delisted_and_woken(self) -> None:
+        """A paused daemon loses its quota and wakes believing in it."""
+        others = [name for name in self.fleet.daemons if name != 'vm4']
+        record = self.play(
+            self.flood(),
+            [
+                (0.5, self.fleet.programs['vm4'].freeze),
+                (0.6, lambda: self.fleet.list_vms(others)),
+                (5, self.fleet.programs['vm4'].wake),
+            ],
+        )
+        self.check(record)
+
+    def test_restarted_at_once(self) -> None:
+        """A daemon is killed and started again under the same name."""
+        record = self.play(
+            self.flood(),
+            [
+                (1, self.fleet.programs['vm4'].kill),
+                (1.1, lambda: self.fleet.start_daemon('vm4')),
+                (3, self.fleet.programs['vm5'].kill),
+                (3.1, lambda: self.fleet.start_daemon('vm5')),
+            ],
+        )
+        self.check(record)
+
+    def test_planned_stop_and_start(self) -> None:
+        """A daemon leaves with its quota and comes back."""
+        record = self.play(
+            self.flood(),
+            [
+                (1, self.fleet.programs['vm4'].ask_to_stop),
+                (4, lambda: self.fleet.start_daemon('vm4')),
+            ],
+        )
+        self.check(record)
+
+
+class TestCutLinks(RateCase):
+    """Links between daemons are cut in one direction."""
+
+    def setUp(self) -> None:
+        """Put a relay before every peer listener."""
+        self.relay = relay.Relay()
+        self.addCleanup(self.relay.close)
+        with relay.before_every_daemon(self.relay):
+            super().setUp()
+
+    def test_one_way(self) -> None:
+        """Two daemons cannot be heard by any other."""
+        hosts = {name: place.host for name, place in self.fleet.daemons.items()}
+        pairs = [
+            (hosts[source], hosts[other])
+            for source, other in itertools.product(('vm2', 'vm4'), hosts)
+            if source != other
+        ]
+        record = self.play(
+            self.flood(),
+            [
+                (1, lambda: self.relay.cuts.update(pairs)),
+                (4, self.relay.heal),
+            ],
+        )
+        self.check(record)
+
+
+class TestChangedRoom(RateCase):
+    """Operators change the account in mid-traffic."""
+
+    def set_room(self, rate: float, burst: float) -> None:
+        """Change the room of the flooding account."""
+        self.fleet.accept(
+            [
+                change.Put(
+                    kind='client_account',
+                    body={'name': 'guild', 'rate': rate, 'burst': burst},
+                ),
+            ],
+        )
+
+    def test_raised_and_lowered(self) -> None:
+        """The larger of the rooms bounds the whole, the smaller the end."""
+        started = time.time()
+        lowered: list[float] = []
+        record = self.play(
+            self.flood(),
+            [
+                (1.5, lambda: self.set_room(60, 48)),
+                (3.5, lambda: self.set_room(20, 10)),
+                (3.6, lambda: lowered.append(time.time() - started)),
+            ],
+        )
+        times = self.admitted(record, 'guild')
+        self.assertLessEqual(checks.excess(times, 60, 48), 0)
+        in_force = lowered[0] + 4
+        late = [at for at in times if at > in_force]
+        if late:
+            self.assertLessEqual(checks.excess(late, 20, 10), 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Shared fixtures of the tests."""
--- /dev/null
+++ b/tests/support/balancer.py
@@ -0,0 +1,59 @@
+"""A balancer with a lagging list of ready daemons."""
+
+import asyncio
+import time
+import typing
+
+from sapphirepaddle.replay import sender, trace
+from sapphirepaddle.standins import fleet
+
+LAG_SECONDS = 0.3
+
+
+class BalancedSender(sender.Sender):
+    """Sends each request to a daemon that was ready a while ago.
+
+    Attributes:
+        running: The fleet.
+        ready: URLs of daemons that were ready.
+    """
+
+    running: fleet.Fleet
+    ready: list[str]
+
+    async def run(self, recorded: trace.Trace, progress: bool) -> None:
+        """Send everything while the list of ready daemons is kept."""
+        self.ready = list(self.bench.callers)
+        keeping = asyncio.create_task(self.keep_list())
+        await super().run(recorded, progress)
+        keeping.cancel()
+
+    async def keep_list(self) -> None:
+        """Ask every daemon whether it is ready, and show it later."""
+        while True:
+            ready = [
+                place.callers_url
+                for place in self.running.daemons.values()
+                if await asyncio.to_thread(
+                    fleet.answers,
+                    f'{place.operators_url}/ready',
+                )
+            ]
+            await asyncio.sleep(LAG_SECONDS)
+            self.ready = ready
+
+    async def exchange(
+        self,
+        request: trace.Request,
+        sending: str,
+        place: int,
+    ) -> tuple[int, typing.Any, bytes]:
+        """Send a request to one of the ready daemons."""
+        callers = tuple(self.ready)
+        self.bench = self.bench.model_copy(update={'callers': callers})
+        return await super().exchange(request, sending, place)
+
+
+def now() -> float:
+    """Return the time that traces are measured by."""
+    return time.time()
--- /dev/null
+++ b/tests/support/proof.py
@@ -0,0 +1,201 @@
+"""Running a trace against a fleet while something fails."""
+
+import asyncio
+import dataclasses
+import pathlib
+import secrets
+import tempfile
+import threading
+import time
+import typing
+import unittest
+
+from sapphirepaddle.objects import change
+from sapphirepaddle.replay import plan, replay, sender, sent, trace
+from sapphirepaddle.standins import demonstration, fleet
+
+Action = typing.Callable[[], typing.Any]
+QUICK_STOP = {'announce_seconds': 0.5, 'drain_seconds': 5}
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What a trace brought about.
+
+    Attributes:
+        bench: What it ran against.
+        results: What became of the requests.
+        runs: The targets' execution logs.
+    """
+
+    bench: plan.Bench
+    results: list[sent.Sent]
+    runs: list[sent.Run]
+
+    def statuses(self) -> list[int]:
+        """Return the HTTP statuses."""
+        return [result.status for result in self.results]
+
+
+def deployment(
+    targets: int = 4,
+    slots: int = 4,
+    zones: str = 'abc',
+    rate: float = 1000,
+    burst: float = 1000,
+    floor: float = 0.5,
+) -> list[change.Put]:
+    """Return a small configuration: reads, orders and two accounts."""
+    put = change.Put
+    services = ('reads', 'orders')
+    return [
+        *(
+            put(kind='availability_zone', body={'name': zone, 'region': 'r'})
+            for zone in zones
+        ),
+        *(
+            put(
+                kind='service',
+                body={
+                    'name': service,
+                    'slots': slots,
+                    'floor': floor,
+                    'echo': True,
+                },
+            )
+            for service in services
+        ),
+        *(
+            put(
+                kind='target',
+                body={
+                    'name': f'{service}-{number}',
+                    'service': service,
+                    'zone': zones[number % len(zones)],
+                    'address': '127.0.0.1',
+                    'port': 1,
+                },
+            )
+            for service in services
+            for number in range(targets)
+        ),
+        put(
+            kind='route',
+            body={
+                'name': 'reads',
+                'prefix': '/reads',
+                'service': 'reads',
+                'patience_ms': 3000,
+                'deadline_ms': 3000,
+            },
+        ),
+        put(
+            kind='route',
+            body={
+                'name': 'orders',
+                'prefix': '/orders',
+                'service': 'orders',
+                'idempotent': False,
+                'patience_ms': 5000,
+                'deadline_ms': 3000,
+            },
+        ),
+        *(
+            put(
+                kind='client_account',
+                body={'name': name, 'rate': rate, 'burst': burst},
+            )
+            for name in ('guild', 'weavers')
+        ),
+    ]
+
+
+class FleetCase(unittest.TestCase):
+    """A test with a fleet of its own."""
+
+    each = 2
+    overrides: typing.ClassVar[fleet.Json] = {'stop': QUICK_STOP}
+    instance: typing.ClassVar[fleet.Json] = {'service_ms': 5}
+    prelude = ''
+
+    def objects(self) -> list[change.Put]:
+        """Return the configuration."""
+        return deployment()
+
+    def setUp(self) -> None:
+        """Start the fleet."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = fleet.Fleet(pathlib.Path(folder.name), self.overrides)
+        self.fleet.prelude = self.prelude
+        self.addCleanup(self.fleet.kill)
+        self.demo = demonstration.start(
+            self.fleet,
+            self.objects(),
+            self.each,
+            self.instance,
+        )
+        self.bench = self.demo.bench()
+
+    def play(
+        self,
+        lines: typing.Sequence[trace.Request],
+        actions: typing.Sequence[tuple[float, Action]] = (),
+    ) -> Record:
+        """Send requests while actions happen at their times."""
+        recorded = trace.Trace(trace.Head(trace='proof', seconds=1), lines)
+        started = time.time()
+        sending = sender.Sender(self.bench, secrets.token_hex(4))
+        worker = threading.Thread(
+            target=lambda: asyncio.run(sending.run(recorded, progress=False)),
+        )
+        worker.start()
+        for at, action in sorted(actions, key=lambda pair: pair[0]):
+            time.sleep(max(0, started + at - time.time()))
+            action()
+        worker.join()
+        time.sleep(0.3)
+        runs = replay.read_runs(self.bench, started)
+        return Record(self.bench, sending.results, runs)
+
+
+def orders(
+    count: int,
+    rate: float,
+    sendings: int = 1,
+    gap: float = 0.0,
+    prefix: str = 'o',
+) -> list[trace.Request]:
+    """Return orders at a rate, each sent several times to daemons in turn."""
+    return [
+        trace.Request(
+            at=number / rate + sending * gap,
+            account='guild',
+            method='POST',
+            path=f'/orders/{prefix}{number}',
+            order=f'{prefix}{number}',
+            size=100,
+            daemon=number + sending,
+        )
+        for number in range(count)
+        for sending in range(sendings)
+    ]
+
+
+def reads(
+    count: int,
+    rate: float,
+    account: str = 'guild',
+    daemon: int | None = None,
+    start: float = 0,
+) -> list[trace.Request]:
+    """Return reads at a rate."""
+    return [
+        trace.Request(
+            at=start + number / rate,
+            account=account,
+            path=f'/reads/{number}',
+            daemon=daemon,
+        )
+        for number in range(count)
+    ]
