--- a/sapphirepaddle/limits/owner.py
+++ b/sapphirepaddle/limits/owner.py
@@ -37,6 +37,7 @@
         version: Its version in the platform.
         since: From when the parts of a partition accrue, by partition.
         parts: The parts in use.
+        shares: How accounts are spread, by name.
         verified_at: When this process last ran without a pause.
         is_suspended: Whether a pause was met and ownership is in doubt.
     """
@@ -50,6 +51,7 @@
         self.version = 0
         self.since: dict[int, float] = {}
         self.parts: dict[PartKey, part.QuotaPart] = {}
+        self.shares: dict[str, partitions.Spread] = {}
         self.verified_at: float = 0
         self.is_suspended = True
 
@@ -136,7 +138,7 @@
         account = self.find(key.account)
         if account is None or not self.owns(key.partition, now):
             return None
-        share = partitions.share_of(account, self.settings)
+        share = self.share(account)
         if key.partition not in share.partitions:
             return None
         held = self.part(key, share, now)
@@ -144,6 +146,20 @@
         seconds = self.settings.lease_seconds * MARGIN
         return held.lease(borrower, wanted, seconds, now)
 
+    def share(
+        self,
+        account: client_account.ClientAccount,
+    ) -> partitions.Share:
+        """Return how an account is spread, worked out once."""
+        held = self.shares.get(account.name)
+        if held is None or held.account is not account:
+            if len(self.shares) >= MOST_PARTS:
+                self.shares.clear()
+            share = partitions.share_of(account, self.settings)
+            held = partitions.Spread(account, share)
+            self.shares[account.name] = held
+        return held.share
+
     def part(
         self,
         key: PartKey,
--- a/sapphirepaddle/limits/partitions.py
+++ b/sapphirepaddle/limits/partitions.py
@@ -22,6 +22,19 @@
     burst: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """The share of an account, kept while the account stays the same.
+
+    Attributes:
+        account: The account.
+        share: Its share.
+    """
+
+    account: client_account.ClientAccount
+    share: Share
+
+
 def share_of(
     account: client_account.ClientAccount,
     settings: entry.Limits,
--- a/sapphirepaddle/limits/quota.py
+++ b/sapphirepaddle/limits/quota.py
@@ -100,7 +100,7 @@
         """
         demand = self.demand(account)
         now = clock.monotonic()
-        if not demand.waiting and demand.tokens.take(now):
+        if not demand.waiting and self.take_now(demand, now):
             return
         self.check_queue(demand)
         granted = asyncio.get_running_loop().create_future()
@@ -112,6 +112,30 @@
         except TimeoutError:
             raise over_rate(demand) from None
 
+    def take_now(self, demand: Demand, now: float) -> bool:
+        """Take a token held here, or one of a part that is owned here."""
+        if demand.tokens.take(now):
+            return True
+        for partition in demand.share.partitions:
+            if self.owner.owns(partition, now):
+                self.lease_here(demand, partition, now)
+                if demand.tokens.take(now):
+                    return True
+        return False
+
+    def lease_here(self, demand: Demand, partition: int, now: float) -> None:
+        """Lease a token of a part that this VM owns."""
+        grant = self.owner.lease(
+            self.owner.vm,
+            owner.PartKey(demand.account.name, partition),
+            1,
+            demand.tokens.report(partition),
+            now,
+        )
+        if grant is not None:
+            until = now + self.settings.lease_seconds
+            demand.tokens.add(partition, grant.amount, until)
+
     def check_queue(self, demand: Demand) -> None:
         """Refuse at once when more requests wait than can get tokens.
 
@@ -127,13 +151,12 @@
         """Return the account's demand, with the limits in force."""
         demand = self.demands.get(account.name)
         if demand is None:
-            share = partitions.share_of(account, self.settings)
-            demand = Demand(account, share)
+            demand = Demand(account, self.owner.share(account))
             self.make_room()
             self.demands[account.name] = demand
         elif demand.account is not account:
             demand.account = account
-            demand.share = partitions.share_of(account, self.settings)
+            demand.share = self.owner.share(account)
         return demand
 
     def make_room(self) -> None:
