--- a/sapphirepaddle/fleet/evidence.py
+++ b/sapphirepaddle/fleet/evidence.py
@@ -22,7 +22,7 @@
 
 TOPIC: typing.Final = 'verdict'
 DRAINING_TOPIC: typing.Final = 'draining'
-GOOD_ONLY_TICKS: typing.Final = 5
+GOOD_ONLY_TICKS: typing.Final = 2
 PROBERS: typing.Final = 2
 Observations = dict[str, list[messages.Observation]]
 
@@ -108,7 +108,8 @@
                 target=seen.target,
                 observer=observer,
                 zone=zone,
-                counts=tally.Tally(seen.good, seen.bad),
+                counts=tally.Tally(seen.good, seen.bad, seen.slow),
+                service=self.table.services.get(seen.target, ''),
             ),
             held or healthy,
             clock.monotonic(),
@@ -218,11 +219,16 @@
 def is_due(held: view.View, good_too: bool) -> bool:
     """Tell whether the results of a target are reported now."""
     counts = held.unreported
-    return counts.bad > 0 or (good_too and counts.good > 0)
+    return counts.suspect > 0 or (good_too and counts.good > 0)
 
 
 def take(held: view.View) -> messages.Observation:
     """Take the results of a target that were not yet reported."""
     counts = held.unreported
     held.unreported = tally.Tally()
-    return messages.Observation(held.target.name, counts.good, counts.bad)
+    return messages.Observation(
+        held.target.name,
+        counts.good,
+        counts.bad,
+        counts.slow,
+    )
--- a/sapphirepaddle/gateway/dispatch.py
+++ b/sapphirepaddle/gateway/dispatch.py
@@ -22,6 +22,7 @@
 MILLISECONDS: typing.Final = 1000
 SERVER_ERROR: typing.Final = 500
 CUT_FACTOR: typing.Final = 2
+STALL_FACTOR: typing.Final = 1.5
 ENOUGH_SAMPLES: typing.Final = 8
 
 Fault = attempt.Fault
@@ -182,7 +183,11 @@
         pool = progress.room.pool
         slow = pool.slow_seconds(request.route.name)
         started = clock.monotonic()
-        self.running[number] = Running(chosen, started, started + slow)
+        self.running[number] = Running(
+            chosen,
+            started,
+            started + slow * STALL_FACTOR,
+        )
         seconds = self.attempt_seconds(request, progress, slow)
         try:
             received = await self.client(chosen, pool.service).send(
--- a/sapphirepaddle/limits/part.py
+++ b/sapphirepaddle/limits/part.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import math
+import typing
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,7 +106,9 @@
         seconds: float,
         now: float,
     ) -> Grant:
-        """Lease tokens to a daemon.
+        """Lease whole tokens to a daemon.
+
+        A part of a token could not be spent before it lapses.
 
         Args:
             borrower: Name of the VM.
@@ -114,15 +117,18 @@
             now: Seconds on the monotonic clock.
         """
         self.accrue(now)
-        amount = max(0, min(wanted, self.level))
+        amount = math.floor(min(wanted, self.level) + ROUNDING)
         if amount > 0:
-            self.level -= amount
+            self.level = max(0, self.level - amount)
             held = self.leases.setdefault(borrower, collections.deque())
             held.append(Lease(amount, now + seconds))
-        missing = max(0, min(1, wanted) - amount)
+        missing = 0 if amount else max(0, 1 - self.level)
         return Grant(amount, missing / self.rate)
 
     def is_idle(self, now: float) -> bool:
         """Tell whether the part can be forgotten and built again."""
         self.accrue(now)
         return not self.leases and self.level >= self.burst
+
+
+ROUNDING: typing.Final = 1e-9
--- a/sapphirepaddle/limits/quota.py
+++ b/sapphirepaddle/limits/quota.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import math
+import random
 import typing
 from collections import abc
 
@@ -34,6 +35,7 @@
         waiting: Requests that wait for a token.
         refill: The task that asks for tokens, while there is one.
         next_place: Place among the partitions that is asked next.
+        empty_places: Places found empty in a row.
     """
 
     account: client_account.ClientAccount
@@ -44,6 +46,7 @@
     )
     refill: 'asyncio.Task[None] | None' = None
     next_place: int = 0
+    empty_places: int = 0
 
 
 class QuotaLimiter(limiter.Limiter):
@@ -55,6 +58,7 @@
         mesh: The peer connections.
         counters: Totals for metrics.
         demands: Accounts served here by name.
+        chance: Source of randomness.
         silent_until: End of the time for which an owner that did not
             answer is passed over, by VM.
     """
@@ -72,6 +76,7 @@
         self.mesh = peers
         self.counters = totals
         self.demands: dict[str, Demand] = {}
+        self.chance = random.Random(own.vm)
         self.silent_until: dict[str, float] = {}
         peers.answerers[messages.TokensAsk] = self.answer
 
@@ -174,7 +179,11 @@
             demand.refill = self.mesh.spawn(self.refill(demand))
 
     async def refill(self, demand: Demand) -> None:
-        """Ask for tokens until nobody waits."""
+        """Ask for tokens until nobody waits.
+
+        The first place is drawn by lot: many daemons ask for one account.
+        """
+        demand.next_place = self.chance.randrange(self.settings.partitions)
         self.serve(demand)
         while demand.waiting:
             pause = await self.ask_round(demand)
@@ -201,11 +210,16 @@
             Seconds to pause before the next round; 0 if tokens came.
         """
         now = clock.monotonic()
-        wanted = len(demand.waiting) - demand.tokens.level(now)
+        wanted = len(demand.waiting) - int(demand.tokens.level(now))
         places = self.places(demand, wanted)
-        each = max(wanted / len(places), ROUNDING)
         answers = await asyncio.gather(
-            *(self.ask(demand, partition, each) for partition in places),
+            *(
+                self.ask(demand, partition, amount)
+                for partition, amount in zip(
+                    places,
+                    divide(max(1, wanted), len(places)),
+                )
+            ),
         )
         amount = math.fsum(tokens.amount for tokens in answers)
         if amount > ROUNDING:
@@ -218,17 +232,19 @@
         answers: abc.Sequence[messages.Tokens],
     ) -> float:
         """Return the time until a token can be had."""
-        if len(answers) < len(demand.share.partitions):
-            return LEAST_PAUSE_SECONDS
+        demand.empty_places += len(answers)
+        if demand.empty_places < len(demand.share.partitions):
+            return 0
+        demand.empty_places = 0
         waits = [tokens.wait for tokens in answers if tokens.owned]
         shortest = min(waits, default=MOST_PAUSE_SECONDS)
         return min(MOST_PAUSE_SECONDS, max(LEAST_PAUSE_SECONDS, shortest))
 
-    def places(self, demand: Demand, wanted: float) -> list[int]:
+    def places(self, demand: Demand, wanted: int) -> list[int]:
         """Return the partitions to ask, in turn."""
         numbers = demand.share.partitions
         count = math.ceil(max(1, wanted) / max(1, demand.share.burst / 2))
-        count = min(len(numbers), count)
+        count = min(len(numbers), count, max(1, wanted))
         start = demand.next_place % len(numbers)
         demand.next_place = start + count
         turn = itertools.islice(itertools.cycle(numbers), start, start + count)
@@ -279,6 +295,12 @@
 ROUNDING: typing.Final = 1e-6
 
 
+def divide(wanted: int, places: int) -> list[int]:
+    """Divide a number of tokens into whole parts."""
+    each, rest = divmod(wanted, places)
+    return [each + (place < rest) for place in range(places)]
+
+
 def over_rate(demand: Demand) -> errors.RefusedError:
     """Return the refusal of a request over its account's rate."""
     return errors.RefusedError(
--- a/sapphirepaddle/peers/messages.capnp
+++ b/sapphirepaddle/peers/messages.capnp
@@ -81,6 +81,7 @@
   target @0 :Text;
   good @1 :UInt32;
   bad @2 :UInt32;
+  slow @3 :UInt32;
 }
 
 struct Report {
--- a/sapphirepaddle/peers/messages.py
+++ b/sapphirepaddle/peers/messages.py
@@ -226,12 +226,14 @@
     Attributes:
         target: Name of the target.
         good: Good results.
-        bad: Bad results.
+        bad: Errors, stalls and broken answers.
+        slow: Whole answers that came late.
     """
 
     target: str
     good: int
     bad: int
+    slow: int
 
 
 @registry.register('report')
--- a/sapphirepaddle/routing/judge.py
+++ b/sapphirepaddle/routing/judge.py
@@ -6,7 +6,7 @@
 
 import transitions
 
-from sapphirepaddle.routing import report, tally, verdict
+from sapphirepaddle.routing import report, significance, tally, verdict
 from sapphirepaddle.settings import entry
 
 Standing = verdict.Standing
@@ -25,6 +25,9 @@
 )
 """States of a target in the eyes of its judge."""
 
+LEAST_USUAL_BAD: typing.Final = 0.005
+LEAST_USUAL: typing.Final = 0.02
+RECENT_PART: typing.Final = 3
 LASTING_FACTOR: typing.Final = 4
 """Relapses are forgotten after this many return times in health."""
 
@@ -49,11 +52,18 @@
         state: State of the target in the machine.
         verdict: The verdict in force.
         since: Time of the last change of state.
+        service: Name of the target's service.
         observers: What each daemon saw.
     """
 
-    def __init__(self, held: verdict.Verdict, now: float) -> None:
+    def __init__(
+        self,
+        held: verdict.Verdict,
+        service: str,
+        now: float,
+    ) -> None:
         """Take up a target at the verdict in force."""
+        self.service = service
         self.state = held.standing.value
         self.verdict = held
         self.since = now
@@ -94,7 +104,7 @@
         """
         case = self.cases.get(seen.target)
         if case is None or case.verdict.epoch < held.epoch:
-            case = Case(held, now)
+            case = Case(held, seen.service, now)
             self.cases[seen.target] = case
         observer = case.observers.get(seen.observer)
         if observer is None:
@@ -131,25 +141,70 @@
         return None
 
     def is_faulty(self, case: Case, now: float, daemons: int) -> bool:
-        """Tell whether several independent observers saw a fault."""
+        """Tell whether several independent observers saw a fault.
+
+        The latest third of the window is looked at by itself too, so that
+        good results from before the fault do not hide it.
+        """
+        return any(
+            self.is_faulty_over(case, now, daemons, slices)
+            for slices in (tally.BUCKETS, tally.BUCKETS // RECENT_PART)
+        )
+
+    def is_faulty_over(
+        self,
+        case: Case,
+        now: float,
+        daemons: int,
+        slices: int,
+    ) -> bool:
+        """Tell whether a fault was seen in the latest slices."""
         sums = {
-            name: observer.window.sum(now)
+            name: observer.window.sum(now, slices)
             for name, observer in case.observers.items()
         }
-        total = tally.Tally()
-        for counts in sums.values():
-            total.add(counts)
+        total = add_all(sums.values())
         witnesses = {
             name
             for name, counts in sums.items()
-            if counts.bad and counts.share >= self.settings.bad_share
+            if counts.suspect and counts.share >= self.settings.bad_share
         }
-        return (
-            total.bad >= self.settings.least_bad
-            and total.share >= self.settings.bad_share
-            and len(witnesses) >= min(self.settings.observers, daemons)
-            and not self.is_path_fault(case, sums, witnesses)
+        needed = min(self.settings.observers, daemons)
+        if len(witnesses) < needed or not self.is_much(total):
+            return False
+        path = self.is_path_fault(case, sums, witnesses)
+        return not path and self.is_significant(case, total, now)
+
+    def is_much(self, total: tally.Tally) -> bool:
+        """Tell whether suspect results are many, and most of all."""
+        enough = total.suspect >= self.settings.least_bad
+        return enough and total.share >= self.settings.bad_share
+
+    def is_significant(
+        self,
+        case: Case,
+        total: tally.Tally,
+        now: float,
+    ) -> bool:
+        """Tell whether the suspect results are more than chance.
+
+        They are compared with the other targets of the service: where all
+        are slow, being slow is no fault of one.
+        """
+        others = add_all(
+            observer.window.sum(now)
+            for other in self.cases.values()
+            if other.service == case.service and other is not case
+            for observer in other.observers.values()
+        )
+        results = max(1, others.total)
+        usual_bad = max(LEAST_USUAL_BAD, others.bad / results)
+        usual = max(LEAST_USUAL, others.suspect / results)
+        chances = (
+            significance.tail(total.total, total.bad, usual_bad),
+            significance.tail(total.total, total.suspect, usual),
         )
+        return min(chances) <= self.settings.most_chance
 
     def is_path_fault(
         self,
@@ -160,7 +215,8 @@
         """Tell whether only one zone sees the fault and another does not."""
         zones = {case.observers[name].zone for name in witnesses}
         contrary = any(
-            counts.good > counts.bad and case.observers[name].zone not in zones
+            counts.good > counts.suspect
+            and case.observers[name].zone not in zones
             for name, counts in sums.items()
         )
         return len(zones) == 1 and contrary
@@ -175,7 +231,7 @@
         witnesses = sorted(
             name
             for name, observer in case.observers.items()
-            if observer.window.sum(now).bad
+            if observer.window.sum(now).suspect
         )
         case.fire('eject')
         reason = f'seen by {", ".join(witnesses)}'
@@ -195,7 +251,7 @@
         if now - case.since < self.eject_seconds(case):
             return None
         windows = (seen.window.sum(now) for seen in case.observers.values())
-        if any(counts.bad for counts in windows):
+        if any(counts.suspect for counts in windows):
             return None
         case.fire('release')
         return self.pronounce(case, now, case.verdict.relapses, 'time over')
@@ -229,3 +285,11 @@
 
 
 BIT_LIMIT: typing.Final = 16
+
+
+def add_all(parts: abc.Iterable[tally.Tally]) -> tally.Tally:
+    """Return the sum of some counts."""
+    total = tally.Tally()
+    for counts in parts:
+        total.add(counts)
+    return total
--- a/sapphirepaddle/routing/report.py
+++ b/sapphirepaddle/routing/report.py
@@ -13,10 +13,12 @@
         target: Name of the target.
         observer: Name of the VM that saw it.
         zone: Availability zone of the observer.
-        counts: Good and bad results.
+        counts: Good, slow and bad results.
+        service: Name of the target's service.
     """
 
     target: str
+    service: str
     observer: str
     zone: str
     counts: tally.Tally
--- a/sapphirepaddle/routing/tally.py
+++ b/sapphirepaddle/routing/tally.py
@@ -9,30 +9,38 @@
 
 @dataclasses.dataclass(slots=True)
 class Tally:
-    """Good and bad results.
+    """Good, slow and bad results.
 
     Attributes:
         good: Good results.
-        bad: Bad results.
+        bad: Errors, stalls and broken answers.
+        slow: Whole answers that came late.
     """
 
     good: int = 0
     bad: int = 0
+    slow: int = 0
 
     @property
     def total(self) -> int:
         """Return the number of results."""
-        return self.good + self.bad
+        return self.good + self.bad + self.slow
+
+    @property
+    def suspect(self) -> int:
+        """Return the results that speak for a fault."""
+        return self.bad + self.slow
 
     @property
     def share(self) -> float:
-        """Return the share of bad results; 0 if there are none."""
-        return self.bad / self.total if self.total else 0
+        """Return the share of suspect results; 0 if there are none."""
+        return self.suspect / self.total if self.total else 0
 
     def add(self, other: 'Tally') -> None:
         """Add the counts of another tally."""
         self.good += other.good
         self.bad += other.bad
+        self.slow += other.slow
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,9 +78,14 @@
             self.buckets.append(Bucket(index, Tally()))
         self.buckets[-1].tally.add(counts)
 
-    def sum(self, now: float) -> Tally:
-        """Return the counts of the window that ends at this time."""
-        oldest = int(now / self.slice_seconds) - BUCKETS
+    def sum(self, now: float, slices: int = BUCKETS) -> Tally:
+        """Return the counts of the window that ends at this time.
+
+        Args:
+            now: Seconds on the monotonic clock.
+            slices: Latest slices that count.
+        """
+        oldest = int(now / self.slice_seconds) - slices
         total = Tally()
         for bucket in self.buckets:
             if bucket.index > oldest:
--- a/sapphirepaddle/routing/view.py
+++ b/sapphirepaddle/routing/view.py
@@ -60,11 +60,12 @@
             self.window = max(1, self.window / 2)
             self.busy_until = now + BUSY_SECONDS
             return
-        bad = int(seen.is_bad)
-        counts = tally.Tally(1 - bad, bad)
+        slow = int(seen is result.Result.SLOW)
+        bad = int(seen.is_bad) - slow
+        counts = tally.Tally(1 - bad - slow, bad, slow)
         self.counts.add(now, counts)
         self.unreported.add(counts)
-        if bad:
+        if seen.is_bad:
             self.record_bad(now)
         else:
             self.record_good()
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -80,6 +80,7 @@
         slow_ms: Milliseconds that are never slow.
         bad_share: Share of bad results from which a target is ejected.
         least_bad: Bad results in the window that an ejection needs.
+        most_chance: Probability below which suspect results are no chance.
         observers: Daemons that must have seen bad results.
         eject_seconds: Length of the first ejection; doubles at each relapse.
         most_eject_seconds: Longest ejection.
@@ -98,6 +99,7 @@
     slow_ms: int = pydantic.Field(150, ge=1)
     bad_share: base.Share = 0.5
     least_bad: base.Count = 3
+    most_chance: float = pydantic.Field(1e-6, gt=0, lt=1)
     observers: base.Count = 2
     eject_seconds: base.Seconds = 5
     most_eject_seconds: base.Seconds = 120
@@ -129,7 +131,7 @@
     partitions: base.Count = 64
     parts: base.Count = 12
     part_burst: float = pydantic.Field(4, ge=1)
-    lease_seconds: base.Seconds = 0.3
+    lease_seconds: base.Seconds = 0.2
     wait_ms: int = pydantic.Field(250, ge=0)
     ask_seconds: base.Seconds = 0.2
     reclaim_seconds: base.Seconds = 5
