--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pages that benchmarks write."""
--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims."""
--- /dev/null
+++ b/tests/replay/test_measures.py
@@ -0,0 +1,59 @@
+"""Measures and stated outcomes of replays."""
+
+import pathlib
+import tempfile
+import unittest
+
+from sapphirepaddle import errors
+from sapphirepaddle.replay import accounts, checks, outcomes, replay, trace
+
+SAMPLES = pathlib.Path(__file__).parent.parent.parent / 'samples'
+
+
+class TestExcess(unittest.TestCase):
+    """The largest excess over rate and burst."""
+
+    def test_agrees_with_every_window(self) -> None:
+        """The one pass finds what trying all windows finds."""
+        times = [0.0, 0.1, 0.1, 0.5, 0.9, 1.0, 1.0, 1.0, 3.0]
+        tried = max(
+            end - start + 1 - 2 * (times[end] - times[start]) - 3
+            for start in range(len(times))
+            for end in range(start, len(times))
+        )
+        self.assertAlmostEqual(checks.excess(times, 2, 3), tried)
+
+    def test_exact_bucket(self) -> None:
+        """What an exact bucket admits has no excess."""
+        self.assertEqual(accounts.count_within([0] * 10, 1, 4), 4)
+        self.assertLessEqual(checks.excess([0.0] * 4, 1, 4), 0)
+        self.assertGreater(checks.excess([0.0] * 5, 1, 4), 0)
+
+
+class TestTrace(unittest.TestCase):
+    """Reading traces."""
+
+    def test_samples(self) -> None:
+        """The sample traces can be read and state known outcomes."""
+        for name in ('brimweave', 'hejaz'):
+            held = trace.read(SAMPLES / name / 'trace.jsonl')
+            outcomes.check_all(replay.EMPTY, held.head.outcomes)
+            self.assertGreater(len(held.requests), 500)
+
+    def test_malformed(self) -> None:
+        """A malformed line is named."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 't.jsonl'
+            path.write_text('{"trace": "t", "seconds": 1}\n{"at": "x"}\n')
+            with self.assertRaises(errors.TraceError) as caught:
+                trace.read(path)
+        self.assertIn(':2:', caught.exception.detail)
+
+    def test_unknown_outcome(self) -> None:
+        """An outcome that nobody checks is an error."""
+        with self.assertRaises(errors.TraceError):
+            outcomes.check_all(replay.EMPTY, {'most_magic': 1})
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings."""
--- a/tests/support/proof.py
+++ b/tests/support/proof.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import pathlib
 import secrets
 import tempfile
@@ -116,7 +117,6 @@
     each = 2
     overrides: typing.ClassVar[fleet.Json] = {'stop': QUICK_STOP}
     instance: typing.ClassVar[fleet.Json] = {'service_ms': 5}
-    prelude = ''
 
     def objects(self) -> list[change.Put]:
         """Return the configuration."""
@@ -127,7 +127,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.fleet = fleet.Fleet(pathlib.Path(folder.name), self.overrides)
-        self.fleet.prelude = self.prelude
+        self.fleet.prelude = os.environ.get('PADDLE_PRELUDE', '')
         self.addCleanup(self.fleet.kill)
         self.demo = demonstration.start(
             self.fleet,
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -56,10 +56,11 @@
             except OSError:
                 writer.close()
                 return
-            await asyncio.gather(
-                self.copy(reader, far[1], (source, host)),
-                self.copy(far[0], writer, (host, source)),
-            )
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(
+                    self.copy(reader, far[1], (source, host)),
+                    self.copy(far[0], writer, (host, source)),
+                )
 
         await asyncio.start_server(serve, sock=opened)
 
