--- a/sapphirepaddle/cli/common.py
+++ b/sapphirepaddle/cli/common.py
@@ -1,6 +1,7 @@
 """Parts shared by the command lines."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 import sys
@@ -10,9 +11,11 @@
 import typer
 
 from sapphirepaddle import errors, version
+from sapphirepaddle.settings import base, loader
 
 Stop = asyncio.Event
 Main = abc.Callable[[Stop], abc.Coroutine[typing.Any, typing.Any, None]]
+Loaded = typing.TypeVar('Loaded', bound=base.Settings)
 FIRST_EXIT: typing.Final = 10
 
 SettingsFile = typing.Annotated[
@@ -49,6 +52,26 @@
         asyncio.run(serve(main))
 
 
+def run_program(
+    path: pathlib.Path,
+    model: type[Loaded],
+    serve_settings: abc.Callable[
+        [Loaded, Stop],
+        abc.Coroutine[typing.Any, typing.Any, None],
+    ],
+) -> None:
+    """Read a program's settings and run it until it is told to stop.
+
+    Args:
+        path: Its settings file.
+        model: The model of its settings.
+        serve_settings: Serves with settings until the event is set.
+    """
+    with report_errors():
+        loaded = loader.load(path, model)
+    run(functools.partial(serve_settings, loaded))
+
+
 async def serve(main: Main) -> None:
     """Run a program with signals turned into its stop event."""
     stop = asyncio.Event()
--- a/sapphirepaddle/cli/entry.py
+++ b/sapphirepaddle/cli/entry.py
@@ -6,7 +6,7 @@
 
 from sapphirepaddle import daemon
 from sapphirepaddle.cli import common
-from sapphirepaddle.settings import entry, loader
+from sapphirepaddle.settings import entry
 from sapphirepaddle.telemetry import logs
 
 application = typer.Typer(
@@ -15,20 +15,21 @@
 )
 
 
+async def serve(settings: entry.Entry, stop: asyncio.Event) -> None:
+    """Serve callers until told to stop, and write logs."""
+    lines = logs.configure(settings.vm)
+    try:
+        await daemon.Daemon(settings).run(stop)
+    finally:
+        lines.close()
+
+
 @application.command()
 def start(
     settings: common.SettingsFile, version: common.Version = False
 ) -> None:
     """Serve callers until SIGTERM; a second signal ends at once."""
-    with common.report_errors():
-        loaded = loader.load(settings, entry.Entry)
-    lines = logs.configure(loaded.vm)
-
-    async def main(stop: asyncio.Event) -> None:  # noqa: WPS430
-        await daemon.Daemon(loaded).run(stop)
-
-    common.run(main)
-    lines.close()
+    common.run_program(settings, entry.Entry, serve)
 
 
 def main() -> None:
--- a/sapphirepaddle/cli/platform.py
+++ b/sapphirepaddle/cli/platform.py
@@ -6,7 +6,7 @@
 
 from sapphirepaddle.cli import common
 from sapphirepaddle.gateway import http_server
-from sapphirepaddle.settings import loader, standins
+from sapphirepaddle.settings import standins
 from sapphirepaddle.standins import platform
 
 application = typer.Typer(
@@ -33,13 +33,7 @@
     settings: common.SettingsFile, version: common.Version = False
 ) -> None:
     """Play the platform: object API, list of VMs, faults."""
-    with common.report_errors():
-        loaded = loader.load(settings, standins.PlatformStandin)
-
-    async def main(stop: asyncio.Event) -> None:  # noqa: WPS430
-        await serve(loaded, stop)
-
-    common.run(main)
+    common.run_program(settings, standins.PlatformStandin, serve)
 
 
 def main() -> None:
--- a/sapphirepaddle/cli/target.py
+++ b/sapphirepaddle/cli/target.py
@@ -6,7 +6,7 @@
 
 from sapphirepaddle.cli import common
 from sapphirepaddle.gateway import http_server
-from sapphirepaddle.settings import loader, standins
+from sapphirepaddle.settings import standins
 from sapphirepaddle.standins import target
 
 application = typer.Typer(
@@ -41,13 +41,7 @@
     settings: common.SettingsFile, version: common.Version = False
 ) -> None:
     """Play targets: slots, shedding, gray modes, execution log."""
-    with common.report_errors():
-        loaded = loader.load(settings, standins.TargetStandin)
-
-    async def main(stop: asyncio.Event) -> None:  # noqa: WPS430
-        await serve(loaded, stop)
-
-    common.run(main)
+    common.run_program(settings, standins.TargetStandin, serve)
 
 
 def main() -> None:
--- a/sapphirepaddle/gateway/dispatch.py
+++ b/sapphirepaddle/gateway/dispatch.py
@@ -1,7 +1,6 @@
 """Running a request at targets, with retries where they are legal."""
 
 import asyncio
-import dataclasses
 import itertools
 import typing
 
@@ -13,9 +12,10 @@
     headers,
     retry_budget,
     target_client,
+    tries,
 )
 from sapphirepaddle.objects import service
-from sapphirepaddle.routing import result, table, view, waiting
+from sapphirepaddle.routing import result, table, view
 from sapphirepaddle.settings import entry
 from sapphirepaddle.telemetry import counters
 
@@ -27,61 +27,6 @@
 
 Fault = attempt.Fault
 
-CODES: typing.Final[dict[Fault, codes.ResultCode]] = {  # noqa: WPS407
-    Fault.UNREACHABLE: codes.TARGET_UNREACHABLE,
-    Fault.REFUSED: codes.TARGET_REFUSED,
-    Fault.TIMEOUT: codes.ANSWER_TIMEOUT,
-    Fault.BROKEN: codes.ANSWER_BROKEN,
-    Fault.CROSSED: codes.ANSWER_CROSSED,
-}
-RESULTS: typing.Final[dict[Fault, result.Result]] = {  # noqa: WPS407
-    Fault.UNREACHABLE: result.Result.UNREACHABLE,
-    Fault.REFUSED: result.Result.SHED,
-    Fault.TIMEOUT: result.Result.STALL,
-    Fault.BROKEN: result.Result.BROKEN,
-    Fault.CROSSED: result.Result.BROKEN,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Running:
-    """One attempt in flight.
-
-    Attributes:
-        view: Its target.
-        started: When it was sent.
-        slow_at: When it counts as stalled.
-        noted: Whether that was noted.
-    """
-
-    view: view.View
-    started: float
-    slow_at: float
-    noted: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What was tried for one request.
-
-    Attributes:
-        room: Waiting room of the service.
-        wait_until: End of the patience.
-        run_until: End of the deadline.
-        tries: Attempts that failed.
-        excluded: Targets that failed.
-        may_have_run: Whether an attempt may have run.
-        last: Error answer of an attempt, passed on if nothing is better.
-    """
-
-    room: waiting.WaitingRoom
-    wait_until: float
-    run_until: float
-    tries: int = 0
-    excluded: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
-    last: answer.Answer | None = None
-
 
 class Dispatcher:
     """Sends requests to targets.
@@ -111,7 +56,7 @@
         self.counters = totals
         self.budget = retry_budget.RetryBudget(settings.retry_share)
         self.clients: dict[str, target_client.TargetClient] = {}
-        self.running: dict[int, Running] = {}
+        self.running: dict[int, tries.Running] = {}
         self.daemons = 1
         self.prefix = prefix
         self.numbers = itertools.count(1)
@@ -135,7 +80,7 @@
     async def repeat(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
     ) -> answer.Answer:
         """Make attempts until one gives a whole answer worth returning.
 
@@ -152,7 +97,7 @@
                 return received
             progress.last = received
 
-    def begin(self, request: call.Call) -> Progress:
+    def begin(self, request: call.Call) -> tries.Progress:
         """Start the limits of a request.
 
         Raises:
@@ -164,12 +109,12 @@
         now = clock.monotonic()
         wait_until = now + request.route.patience_ms / MILLISECONDS
         deadline = request.route.deadline_ms / MILLISECONDS
-        return Progress(room, wait_until, wait_until + deadline)
+        return tries.Progress(room, wait_until, wait_until + deadline)
 
     async def try_once(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
     ) -> answer.Answer:
         """Wait for a target and make one attempt there.
 
@@ -183,7 +128,7 @@
         pool = progress.room.pool
         slow = pool.slow_seconds(request.route.name)
         started = clock.monotonic()
-        self.running[number] = Running(
+        self.running[number] = tries.Running(
             chosen,
             started,
             started + slow * STALL_FACTOR,
@@ -209,7 +154,9 @@
         self.note_answer(request, progress, received, chosen, started)
         return received
 
-    async def wait(self, request: call.Call, progress: Progress) -> view.View:
+    async def wait(
+        self, request: call.Call, progress: tries.Progress
+    ) -> view.View:
         """Wait for a target with room.
 
         Raises:
@@ -226,7 +173,7 @@
     async def acquire(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
     ) -> view.View:
         """Wait for a target; the key is checked again after the wait.
 
@@ -241,7 +188,7 @@
             progress.excluded,
         )
         try:
-            check_start(request, progress)
+            tries.check_start(request, progress)
         except errors.RefusedError:
             progress.room.release(chosen)
             raise
@@ -250,7 +197,7 @@
     def attempt_seconds(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
         slow: float,
     ) -> float:
         """Return the limit of one attempt.
@@ -263,7 +210,7 @@
         baseline = progress.room.pool.baseline(request.route.name)
         usual = len(baseline.samples) >= ENOUGH_SAMPLES
         last = progress.tries + 1 >= self.settings.attempts
-        if usual and not last and can_repeat(request):
+        if usual and not last and tries.can_repeat(request):
             return min(remaining, slow * CUT_FACTOR)
         return max(0, remaining)
 
@@ -290,7 +237,7 @@
     def note_failure(
         self,
         number: int,
-        progress: Progress,
+        progress: tries.Progress,
         error: attempt.AttemptFailedError,
     ) -> None:
         """Take a failed attempt as evidence, unless it was before."""
@@ -302,12 +249,12 @@
         if error.fault is not Fault.REFUSED:
             progress.excluded.add(running.view.target.name)
         if not running.noted:
-            running.view.record(RESULTS[error.fault], clock.monotonic())
+            running.view.record(tries.RESULTS[error.fault], clock.monotonic())
 
     def note_answer(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
         received: answer.Answer,
         chosen: view.View,
         started: float,
@@ -322,7 +269,7 @@
         if received.status >= SERVER_ERROR:
             seen = result.Result.ERROR
         chosen.record(seen, now)
-        note_hints(received, chosen, now)
+        tries.note_hints(received, chosen, now)
 
     def note_stalls(self, now: float) -> None:
         """Note attempts in flight that take too long."""
@@ -334,7 +281,7 @@
     def consider(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
         error: attempt.AttemptFailedError,
     ) -> None:
         """Decide whether a failed request is tried again.
@@ -351,9 +298,9 @@
             return
         progress.tries += 1
         if not (legal and self.may_retry(request, progress)):
-            raise refusal(progress, error)
+            raise tries.refusal(progress, error)
 
-    def may_retry(self, request: call.Call, progress: Progress) -> bool:
+    def may_retry(self, request: call.Call, progress: tries.Progress) -> bool:
         """Tell whether bounds and budget leave another attempt."""
         if progress.tries >= self.settings.attempts:
             return False
@@ -364,13 +311,13 @@
     def wants_better(
         self,
         request: call.Call,
-        progress: Progress,
+        progress: tries.Progress,
         received: answer.Answer,
     ) -> bool:
         """Tell whether an error answer to a read is tried elsewhere."""
         if received.status < SERVER_ERROR or received.stream is not None:
             return False
-        if not can_repeat(request):
+        if not tries.can_repeat(request):
             return False
         progress.tries += 1
         progress.may_have_run = True
@@ -380,46 +327,3 @@
         """Close the connections to all targets."""
         closing = (client.close() for client in self.clients.values())
         await asyncio.gather(*closing)
-
-
-def check_start(request: call.Call, progress: Progress) -> None:
-    """Check, just before a request is sent, that it still may be.
-
-    A process that was paused finds its deadline passed here.
-
-    Raises:
-        RefusedError: If the key was withdrawn or the deadline passed.
-    """
-    request.check_access()
-    if clock.monotonic() >= progress.run_until:
-        raise errors.RefusedError(codes.WAIT_TIMEOUT, 'deadline passed')
-
-
-def can_repeat(request: call.Call) -> bool:
-    """Tell whether a request may run more than once."""
-    return request.route.idempotent and request.is_replayable
-
-
-def refusal(
-    progress: Progress,
-    error: attempt.AttemptFailedError,
-) -> errors.RefusedError:
-    """Return the truthful refusal after the last attempt."""
-    code = CODES[error.fault]
-    if progress.may_have_run and error.not_run:
-        code = codes.ANSWER_BROKEN
-    return errors.RefusedError(code, error.detail)
-
-
-def note_hints(received: answer.Answer, chosen: view.View, now: float) -> None:
-    """Take in what the answer says of the target's load and draining."""
-    for name, value in received.headers:
-        if name == b'x-load':
-            chosen.note_load(read_load(value))
-        elif name == b'x-draining':
-            chosen.note_draining(now)
-
-
-def read_load(value: bytes) -> float:
-    """Read a reported load; a malformed one counts as none."""
-    return int(value) if value.isdigit() else 0
--- a/sapphirepaddle/operators/intents.py
+++ b/sapphirepaddle/operators/intents.py
@@ -16,80 +16,72 @@
 FORBID: typing.Final = pydantic.ConfigDict(extra='forbid')
 
 
-@intent.register('empty-zone')
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EmptyZone(intent.Intent):
-    """Give the targets of an availability zone no new work.
+class ZoneIntent(intent.Intent):
+    """Changes the state of an availability zone.
 
     Attributes:
         zone: Name of the zone.
+        state: The new state.
     """
 
     __pydantic_config__ = FORBID
 
     zone: str
+    state: typing.ClassVar[str]
 
     def draft(self, current: intent.Configuration) -> intent.Draft:
         """Return the change of the zone."""
         held = intent.find(current, ZONE, self.zone)
-        return intent.Draft([intent.put(ZONE, held, state='emptied')])
+        return intent.Draft([intent.put(ZONE, held, state=self.state)])
 
 
-@intent.register('refill-zone')
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RefillZone(intent.Intent):
-    """Give the targets of an availability zone work again.
+@intent.register('empty-zone')
+class EmptyZone(ZoneIntent):
+    """Give the targets of an availability zone no new work."""
 
-    Attributes:
-        zone: Name of the zone.
-    """
+    state = 'emptied'
 
-    __pydantic_config__ = FORBID
 
-    zone: str
+@intent.register('refill-zone')
+class RefillZone(ZoneIntent):
+    """Give the targets of an availability zone work again."""
 
-    def draft(self, current: intent.Configuration) -> intent.Draft:
-        """Return the change of the zone."""
-        held = intent.find(current, ZONE, self.zone)
-        return intent.Draft([intent.put(ZONE, held, state='active')])
+    state = 'active'
 
 
-@intent.register('drain-target')
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class DrainTarget(intent.Intent):
-    """Give a target no new work.
+class TargetIntent(intent.Intent):
+    """Changes the state of a target.
 
     Attributes:
         target: Name of the target.
+        state: The new state.
     """
 
     __pydantic_config__ = FORBID
 
     target: str
+    state: typing.ClassVar[str]
 
     def draft(self, current: intent.Configuration) -> intent.Draft:
         """Return the change of the target."""
         held = intent.find(current, TARGET, self.target)
-        return intent.Draft([intent.put(TARGET, held, state='draining')])
+        return intent.Draft([intent.put(TARGET, held, state=self.state)])
 
 
-@intent.register('return-target')
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ReturnTarget(intent.Intent):
-    """Give a drained target work again.
+@intent.register('drain-target')
+class DrainTarget(TargetIntent):
+    """Give a target no new work."""
 
-    Attributes:
-        target: Name of the target.
-    """
+    state = 'draining'
 
-    __pydantic_config__ = FORBID
 
-    target: str
+@intent.register('return-target')
+class ReturnTarget(TargetIntent):
+    """Give a drained target work again."""
 
-    def draft(self, current: intent.Configuration) -> intent.Draft:
-        """Return the change of the target."""
-        held = intent.find(current, TARGET, self.target)
-        return intent.Draft([intent.put(TARGET, held, state='active')])
+    state = 'active'
 
 
 @intent.register('give-key')
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -66,8 +66,8 @@
     Mutation(
         'a key is checked again before sending',
         'proofs.test_keys.TestWithdrawn.test_waiting_request',
-        'from sapphirepaddle.gateway import dispatch\n'
-        'dispatch.check_start = lambda request, progress: None',
+        'from sapphirepaddle.gateway import tries\n'
+        'tries.check_start = lambda request, progress: None',
     ),
     Mutation(
         'withdrawals spread as news',
