--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -323,7 +323,7 @@
 |---|---|---|
 | list of VMs | {list_calls:.1f} | one watcher in each of {zones} zones, every 2 s |
 | watches | {watch_calls:.1f} | the same, each at most 10 s, {zones} waiting at a time |
-| start of a daemon | {start_calls:.2f} | list, ownership and change log of {moves:,} replacements a day; the log needs compaction into snapshots at this size, which is not built |
+| start of a daemon | {start_calls:.2f} | list, ownership, snapshot and newest changes, for {moves:,} replacements a day; today a snapshot of everything is read in parts of 1,000 objects, 2,300 at this size, too many for each start: the peers' pages serve instead when routes and targets only are whole |
 | claims | {claim_calls:.0f} at most | {shards} shards, one write in 20 ms each; more than several hundred writes a second would be reached at {most_shards} shards |
 | audit | {audit_calls:.1f} | a verdict or change now and then |
 | while nobody hears the platform | 100 at most | reads are spread over the fleet: each daemon waits n / 100 s |
@@ -378,7 +378,7 @@
             zones=ZONES,
             list_calls=ZONES / 2,
             watch_calls=ZONES / 10 + CHANGES_A_DAY / DAY * ZONES,
-            start_calls=starts * 4,
+            start_calls=starts * 5,
             moves=REPLACEMENTS_A_DAY,
             claim_calls=SHARDS / COMMIT_SECONDS,
             shards=SHARDS,
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -134,6 +134,7 @@
             held.evidence.run(),
             held.prober.run(),
             held.audit.run(),
+            held.compactor.run(),
             self.meet_seeds(),
             self.upkeep(),
         )
--- /dev/null
+++ b/sapphirepaddle/fleet/compactor.py
@@ -0,0 +1,77 @@
+"""Writing snapshots of the configuration now and then."""
+
+import asyncio
+import typing
+
+from sapphirepaddle import errors
+from sapphirepaddle.gateway import in_force
+from sapphirepaddle.peers import members
+from sapphirepaddle.platform import snapshots, store
+from sapphirepaddle.telemetry import logs
+
+LOOK_SECONDS: typing.Final = 30
+ROLE: typing.Final = 'compact'
+
+
+class Compactor:
+    """Writes a snapshot when the log has grown; one daemon does it.
+
+    Two that do it at once meet in the conditional update of the head.
+
+    Attributes:
+        every: Changes after which a snapshot is written.
+        current: The configuration in force.
+        store: The platform.
+        known: The VMs of the fleet.
+        written: Revision of the last snapshot known here.
+        logger: Log of snapshots.
+    """
+
+    def __init__(
+        self,
+        every: int,
+        current: in_force.InForce,
+        objects: store.ObjectStore,
+        known: members.Members,
+    ) -> None:
+        """Store the parts."""
+        self.every = every
+        self.current = current
+        self.store = objects
+        self.known = known
+        self.written = 0
+        self.logger = logs.get('compactor')
+
+    async def run(self) -> None:
+        """Look again and again whether a snapshot is due."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if self.is_due():
+                await self.compact()
+
+    def is_due(self) -> bool:
+        """Tell whether this daemon should write a snapshot now."""
+        grown = self.current.revision - self.written >= self.every
+        return grown and self.known.first(ROLE) == self.known.own
+
+    async def compact(self) -> None:
+        """Write a snapshot, unless another daemon just did."""
+        try:
+            await self.write()
+        except errors.PlatformError as error:
+            self.logger.info('no snapshot', detail=str(error))
+
+    async def write(self) -> None:
+        """Write a snapshot if the newest one is old enough.
+
+        Raises:
+            PlatformError: If the platform is silent or another daemon was
+                first.
+        """
+        held = await snapshots.read_head(self.store)
+        self.written = snapshots.decode_head(held).revision
+        if self.current.revision - self.written < self.every:
+            return
+        head = await snapshots.write(self.store, self.current.configuration)
+        self.written = head.revision
+        self.logger.info('snapshot', revision=head.revision)
--- a/sapphirepaddle/fleet/configuration_sync.py
+++ b/sapphirepaddle/fleet/configuration_sync.py
@@ -10,19 +10,12 @@
 from sapphirepaddle.gateway import in_force
 from sapphirepaddle.objects import change, configuration, kinds
 from sapphirepaddle.peers import mesh, messages
+from sapphirepaddle.platform import snapshots
 from sapphirepaddle.telemetry import counters, logs
 
 KEPT_CHANGES: typing.Final = 512
 PAGE_OBJECTS: typing.Final = 500
 ASK_SECONDS: typing.Final = 2
-KINDS: typing.Final = (
-    'availability_zone',
-    'service',
-    'target',
-    'route',
-    'client_account',
-    'key',
-)
 
 
 class ConfigurationSync:
@@ -131,7 +124,7 @@
         held = self.current.configuration
         return [
             change.Put(kind=kind, body=plain(entry))
-            for kind in KINDS
+            for kind in snapshots.KINDS
             for entry in held.table(kind).values()
         ]
 
@@ -182,26 +175,23 @@
             if newer.revision not in {0, page.revision}:
                 raise errors.PeerError(codes.PEER_UNREACHABLE, 'moved on')
             newer.revision = page.revision
-            fill(newer, page)
+            snapshots.fill(newer, map(read_put, page.puts))
             cursor = page.cursor
             if not cursor:
                 break
             await asyncio.sleep(0)
+        self.adopt(newer)
+
+    def adopt(self, newer: configuration.Configuration) -> None:
+        """Take up a whole configuration if it is newer."""
         if self.current.replace(newer):
             self.applied_at = clock.monotonic()
             self.recent.clear()
 
 
-def fill(newer: configuration.Configuration, page: messages.Snapshot) -> None:
-    """Add a page of objects to a configuration.
-
-    Raises:
-        ConfigurationError: If an object cannot be read.
-    """
-    for raw in page.puts:
-        put = change.Put(**orjson.loads(raw))
-        entry = kinds.find(put.kind).parse(put.body)
-        newer.table(put.kind)[entry.name] = entry
+def read_put(raw: bytes) -> change.Put:
+    """Read an object of a page."""
+    return change.Put(**orjson.loads(raw))
 
 
 def plain(entry: kinds.ConfigurationObject) -> dict[str, typing.Any]:
--- a/sapphirepaddle/fleet/watcher.py
+++ b/sapphirepaddle/fleet/watcher.py
@@ -13,7 +13,7 @@
 from sapphirepaddle.audit import trail
 from sapphirepaddle.fleet import configuration_sync, freshness
 from sapphirepaddle.peers import gossip, members
-from sapphirepaddle.platform import change_log, store, stored
+from sapphirepaddle.platform import change_log, snapshots, store, stored
 from sapphirepaddle.routing import rendezvous
 from sapphirepaddle.settings import entry
 from sapphirepaddle.telemetry import logs
@@ -178,7 +178,11 @@
         Raises:
             PlatformUnavailableError: If the platform does not answer.
         """
+        if not self.sync.current.revision:
+            await self.read_snapshot()
         found = await change_log.load(self.store, self.sync.current.revision)
+        if self.has_gap(found):
+            await self.read_snapshot()
         for key in self.handlers:
             held = await self.store.read(key)
             if held is not None:
@@ -186,6 +190,25 @@
         self.note_answer()
         self.take_up(found)
 
+    def has_gap(self, found: list[stored.Stored]) -> bool:
+        """Tell whether the next change was deleted from the log."""
+        following = self.sync.current.revision + 1
+        return bool(found) and change_log.revision_of(found[0]) > following
+
+    async def read_snapshot(self) -> None:
+        """Take up the newest snapshot, if there is one.
+
+        Raises:
+            PlatformUnavailableError: If the platform does not answer.
+        """
+        try:
+            newer = await snapshots.read(self.store)
+        except errors.ConfigurationError as error:
+            self.logger.error('snapshot not read', detail=str(error))
+            return
+        if newer is not None:
+            self.sync.adopt(newer)
+
     async def watch_objects(self) -> None:
         """Wait for newer objects and take them up.
 
--- a/sapphirepaddle/operators/planner.py
+++ b/sapphirepaddle/operators/planner.py
@@ -265,7 +265,8 @@
         """Make the change of a plan accepted and return its revision.
 
         Raises:
-            OperatorError: If an object that the plan rests on has changed.
+            OperatorError: If an object that the plan rests on has changed,
+                or the plan is older than the log.
             PlatformUnavailableError: If the platform is silent.
         """
         for _ in range(CONFIRM_TRIES):
@@ -301,6 +302,7 @@
             change.decode(held.body or b'')
             for held in await change_log.load(self.store, start)
         ]
+        check_whole(start, entries)
         accepted = [
             entry.revision
             for entry in entries
@@ -332,6 +334,18 @@
     overrides_floor: bool = False
 
 
+def check_whole(start: int, entries: list[change.Change]) -> None:
+    """Refuse a plan so old that changes since were deleted from the log.
+
+    Whether it was accepted before could not be told.
+
+    Raises:
+        OperatorError: If so.
+    """
+    if entries and entries[0].revision > start + 1:
+        raise errors.OperatorError(codes.PLAN_STALE, 'older than the log')
+
+
 def check_basis(
     agreed: plan.Plan,
     current: configuration.Configuration,
--- a/sapphirepaddle/parts.py
+++ b/sapphirepaddle/parts.py
@@ -7,6 +7,7 @@
 from sapphirepaddle.audit import trail
 from sapphirepaddle.claims import ledger, orders
 from sapphirepaddle.fleet import (
+    compactor,
     configuration_sync,
     evidence,
     freshness,
@@ -39,6 +40,7 @@
         freshness: Contact with the platform.
         sync: Spreading of changes.
         watcher: Reading of the platform.
+        compactor: Writing of snapshots.
         dispatcher: Sending of requests.
         evidence: Pooling of evidence.
         prober: Probing of targets.
@@ -105,6 +107,12 @@
             self.gossip,
             self.freshness,
         )
+        self.compactor = compactor.Compactor(
+            settings.membership.snapshot_changes,
+            self.current,
+            self.store,
+            self.members,
+        )
         self.status = status.StatusBoard(self.gossip)
         self.mesh.heartbeat = self.heartbeat
         self.mesh.answerers[messages.Heartbeat] = self.note_heartbeat
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -56,6 +56,8 @@
         watchers: Daemons of a zone that watch the platform for the others.
         watch_seconds: Longest wait of one watch call.
         digest_seconds: Time between two comparisons of news with a peer.
+        snapshot_changes: Changes after which the configuration is written
+            as a snapshot.
         retry_seconds: Wait before a failed connection or call is repeated.
     """
 
@@ -66,6 +68,7 @@
     watchers: base.Count = 1
     watch_seconds: base.Seconds = 10
     digest_seconds: base.Seconds = 1
+    snapshot_changes: base.Count = 1000
     retry_seconds: base.Seconds = 0.3
 
 
