Let a refusal reach a caller that still sends its body; bound stalled bodies

Cause, found by a trial with large bodies: a request refused before its body was read (wrong key, too large) had its connection reset, since the rest of the body was counted as the head of a next request. A truthful refusal that cannot be read is none. Change: a head starts only after the end of the body; a body that nobody reads is dropped up to the largest body, then the connection is closed. A small body that stalls is refused with 3017 after 10 s.

--- a/sapphirepaddle/codes.py
+++ b/sapphirepaddle/codes.py
@@ -190,6 +190,13 @@
     MAY_HAVE_RUN,
     'The caller closed the connection before the answer.',
 )
+BODY_TIMEOUT: typing.Final = ResultCode(
+    3017,
+    'body-timeout',
+    408,
+    NOT_RUN,
+    'The request body did not arrive in time.',
+)
 TARGET_REFUSED: typing.Final = ResultCode(
     3020,
     'target-refused',
--- a/sapphirepaddle/gateway/body.py
+++ b/sapphirepaddle/gateway/body.py
@@ -1,5 +1,6 @@
 """Reading the body of a caller's request."""
 
+import asyncio
 import typing
 from collections import abc
 
@@ -33,13 +34,29 @@
     check_length(request, limits)
     held = bytearray()
     while len(held) <= limits.buffer_bytes:
-        message = await receive()
+        message = await receive_in_time(receive, limits.body_seconds)
         held += part(message)
         if not message.get('more_body', False):
             return bytes(held)
     return stream(bytes(held), receive, limits.body_bytes)
 
 
+async def receive_in_time(
+    receive: Receive,
+    seconds: float,
+) -> abc.Mapping[str, typing.Any]:
+    """Return the next ASGI message.
+
+    Raises:
+        RefusedError: If it does not come in time.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            return await receive()
+    except TimeoutError:
+        raise errors.RefusedError(codes.BODY_TIMEOUT) from None
+
+
 def check_length(request: head.Head, limits: entry.CallerLimits) -> None:
     """Refuse a stated length over the limit, and a body on a GET.
 
--- a/sapphirepaddle/gateway/caller_connection.py
+++ b/sapphirepaddle/gateway/caller_connection.py
@@ -44,6 +44,8 @@
         limits: The bounds.
         head_bytes: Bytes of the head that is being read.
         reading_head: Whether a head is being read.
+        in_body: Whether the body of a request is being read.
+        discarded: Bytes of a body that came after its answer.
         head_timer: Ends a connection whose head takes too long.
         disconnect: Cancels the request that runs.
     """
@@ -55,6 +57,8 @@
         super().__init__(*args, **kwargs)
         self.head_bytes = 0
         self.reading_head = False
+        self.in_body = False
+        self.discarded = 0
         self.head_timer: asyncio.TimerHandle | None = None
         self.disconnect = Disconnect()
 
@@ -83,9 +87,28 @@
         if self.reading_head and self.head_bytes > self.limits.head_bytes:
             self.refuse(codes.HEAD_TOO_LARGE)
 
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of a body; discard it after the answer.
+
+        A refusal is often sent before the body was read. The caller gets
+        to read it, since the rest of the body is taken and dropped, up to
+        the largest body.
+        """
+        super().on_body(body)
+        if self.cycle.response_complete:
+            self.discarded += len(body)
+        if self.discarded > self.limits.body_bytes:
+            self.transport.close()
+
+    def on_message_complete(self) -> None:
+        """End the body of a request."""
+        super().on_message_complete()
+        self.in_body = False
+        self.discarded = 0
+
     def is_idle(self) -> bool:
         """Tell whether no request is being read or served."""
-        if self.reading_head:
+        if self.reading_head or self.in_body:
             return False
         return self.cycle is None or self.cycle.response_complete
 
@@ -97,6 +120,7 @@
     def on_headers_complete(self) -> None:
         """End the bounds on the head and hand over the request."""
         self.reading_head = False
+        self.in_body = True
         self.head_bytes = 0
         self.stop_head_timer()
         self.disconnect = Disconnect()
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -31,6 +31,7 @@
     Attributes:
         head_bytes: Largest request head.
         head_seconds: Longest time for a request head.
+        body_seconds: Longest wait for the next part of a small body.
         body_bytes: Largest request body.
         buffer_bytes: Largest body that is held whole, so that it can be
             sent again after a proven "not run".
@@ -39,6 +40,7 @@
 
     head_bytes: int = pydantic.Field(32 * KIBIBYTE, ge=KIBIBYTE)
     head_seconds: base.Seconds = 10
+    body_seconds: base.Seconds = 10
     body_bytes: int = pydantic.Field(64 * MEBIBYTE, ge=0)
     buffer_bytes: int = pydantic.Field(64 * KIBIBYTE, ge=0)
     keep_alive_seconds: base.Seconds = 75
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -17,7 +17,11 @@
 from sapphirepaddle.objects import route
 from sapphirepaddle.settings import base, entry
 
-LIMITS = entry.CallerLimits(head_bytes=2048, head_seconds=0.4)
+LIMITS = entry.CallerLimits(
+    head_bytes=2048,
+    head_seconds=0.4,
+    body_bytes=1_000_000,
+)
 
 
 async def answer_ok(scope, receive, send) -> None:
@@ -81,6 +85,27 @@
         found = await self.exchange(whole + whole, last, pause=0.05)
         self.assertEqual(found.count(b'200 OK'), 3)
 
+    async def test_unread_body(self) -> None:
+        """A request answered before its body was read gets its answer."""
+        size = 1_000_000
+        raw = f'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n'
+        last = b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+        parts = [b'x' * 100_000] * 10
+        found = await self.exchange(raw.encode(), *parts, last, pause=0.01)
+        self.assertEqual(found.count(b'200 OK'), 2, found)
+
+    async def test_endless_unread_body(self) -> None:
+        """A body that nobody reads is discarded up to the limit only."""
+        raw = (
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        chunk = b'%x\r\n%b\r\n' % (60_000, b'x' * 60_000)
+        try:
+            found = await self.exchange(raw, *[chunk] * 40, pause=0.01)
+        except ConnectionError:
+            return
+        self.assertNotEqual(found, b'still open')
+
     async def test_random_heads(self) -> None:
         """Random bytes never end the listener."""
         generated: list[bytes] = []
