--- a/sapphirepaddle/codes.py
+++ b/sapphirepaddle/codes.py
@@ -267,6 +267,13 @@
     MAY_HAVE_RUN,
     'A request with this idempotency key ran; its answer was not kept.',
 )
+INTERNAL: typing.Final = ResultCode(
+    3099,
+    'internal',
+    500,
+    MAY_HAVE_RUN,
+    'This daemon met an error of its own.',
+)
 PLATFORM_UNAVAILABLE: typing.Final = ResultCode(
     4001,
     'platform-unavailable',
--- a/sapphirepaddle/gateway/app.py
+++ b/sapphirepaddle/gateway/app.py
@@ -100,6 +100,10 @@
         except errors.RefusedError as error:
             self.note_refusal(error, identifier, scope)
             received = refusal.render(error, identifier)
+        except Exception:
+            self.logger.exception('internal error', request=identifier)
+            internal = errors.RefusedError(codes.INTERNAL)
+            received = refusal.render(internal, identifier)
         self.counters.add('requests', str(received.status))
         self.counters.add('request_seconds', '', clock.monotonic() - started)
         await self.reply(received, send)
--- a/sapphirepaddle/gateway/target_client.py
+++ b/sapphirepaddle/gateway/target_client.py
@@ -4,6 +4,7 @@
 import contextlib
 import typing
 from collections import abc
+from http import cookies
 
 import aiosonic
 from aiosonic import client, connectors, exceptions, pools, timeout
@@ -28,6 +29,7 @@
     asyncio.LimitOverrunError,
     OSError,
     ValueError,
+    cookies.CookieError,
 )
 Fault = attempt.Fault
 AttemptFailedError = attempt.AttemptFailedError
--- a/sapphirepaddle/telemetry/writer.py
+++ b/sapphirepaddle/telemetry/writer.py
@@ -53,6 +53,7 @@
     warning = msg  # noqa: WPS115
     error = msg  # noqa: WPS115
     debug = msg  # noqa: WPS115
+    exception = msg  # noqa: WPS115
 
 
 def standard() -> LineWriter:
