Cancel reads at targets of callers that left; name an address that is taken

Cause: the target stand-in did not notice cancellation, so nothing showed that the daemon passes it on; a taken address ended a program with a traceback.

--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,97 @@
+"""Baselines that the policy is compared with."""
+
+import typing
+
+from sapphirepaddle.objects import configuration
+from sapphirepaddle.routing import pool, result, table, view
+
+
+class RoundRobinPool(pool.ServicePool):
+    """Baseline (a): targets in turn, nothing is ejected."""
+
+    turn = 0
+
+    def routing_set(self, now: float) -> list[view.View]:
+        """Return every target that does not leave."""
+        return [
+            held
+            for name, held in sorted(self.views.items())
+            if name not in self.gone
+        ]
+
+    def pick(
+        self,
+        now: float,
+        excluded: typing.AbstractSet[str],
+    ) -> view.View | None:
+        """Return the next target in turn."""
+        routed = self.routing_set(now)
+        able = [held for held in routed if held.target.name not in excluded]
+        self.turn += 1
+        return able[self.turn % len(able)] if able else None
+
+
+class ConsecutivePool(RoundRobinPool):
+    """Baseline (b): five errors in a row eject for 30 s and longer, in one
+    daemon, at most half of the targets."""
+
+    in_a_row = 5
+    seconds = 30
+
+    def routing_set(self, now: float) -> list[view.View]:
+        """Return the targets that are not ejected."""
+        every = super().routing_set(now)
+        kept = [held for held in every if not self.is_out(held, now)]
+        return kept if len(kept) * 2 >= len(every) else every
+
+    def is_out(self, held: view.View, now: float) -> bool:
+        """Tell whether a target is ejected, and eject it if due."""
+        if held.in_a_row >= self.in_a_row and now >= held.avoided_until:
+            held.avoidances += 1
+            held.avoided_until = now + self.seconds * held.avoidances
+            held.in_a_row = 0
+        return now < held.avoided_until
+
+
+class PlainView(view.View):
+    """What the baselines note: errors in a row, but nothing is avoided."""
+
+    __slots__ = ()
+
+    def record(self, seen: result.Result, now: float) -> None:
+        """Count errors in a row."""
+        slow = seen is result.Result.SLOW
+        if seen.is_bad and not slow:
+            self.in_a_row += 1
+        elif not seen.is_bad:
+            self.in_a_row = 0
+
+    def has_room(self, now: float) -> bool:
+        """Have room always."""
+        return True
+
+
+POOLS = {
+    'round robin': RoundRobinPool,
+    'consecutive errors': ConsecutivePool,
+    'alone': pool.ServicePool,
+    'ours': pool.ServicePool,
+}
+
+
+class PolicyTable(table.RoutingTable):
+    """A routing table with the pools of a policy."""
+
+    policy = 'ours'
+
+    def open(self, current: configuration.Configuration, name: str):
+        """Create the pool and waiting room of a service."""
+        targets = POOLS[self.policy](
+            current.services[name],
+            self.zone,
+            self.settings,
+            self.chance,
+        )
+        room = table.waiting.WaitingRoom(targets, self.clock)
+        self.rooms[name] = room
+        return room
--- /dev/null
+++ b/bench/policy_world.py
@@ -0,0 +1,437 @@
+"""A deployment on virtual time: real deciding parts, fake surroundings."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+import pathlib
+import random
+
+from bench import baselines, policy_parts
+from sapphirepaddle import clock, codes, errors
+from sapphirepaddle.claims import ledger, orders
+from sapphirepaddle.cli import settings_check
+from sapphirepaddle.fleet import evidence
+from sapphirepaddle.gateway import call, dispatch, head, limiter
+from sapphirepaddle.limits import owner, ownership, quota
+from sapphirepaddle.objects import change, configuration
+from sapphirepaddle.peers import gossip, members
+from sapphirepaddle.settings import entry, loader
+from sapphirepaddle.telemetry import counters
+
+ROOT = pathlib.Path(__file__).parent.parent
+SECONDS = 20
+FAULT_AT = 6
+FILL_SECONDS = 12
+MEAN_SECONDS = 0.06
+SAMPLE_SECONDS = 0.05
+BASELINES = frozenset(('round robin', 'consecutive errors'))
+
+
+@dataclasses.dataclass(slots=True)
+class Seed:
+    """Seed of all randomness of a run.
+
+    Attributes:
+        number: The seed.
+    """
+
+    number: int = 11
+
+
+SEED = Seed()
+
+
+class PolicyDispatcher(dispatch.Dispatcher):
+    """A dispatcher whose clients reach fake targets."""
+
+    fakes: dict[str, policy_parts.FakeTarget]
+    cuts: set[tuple[str, str]]
+    zone: str
+
+    def client(self, chosen, configured):
+        """Return the client of a fake target."""
+        fake = self.fakes[chosen.target.name]
+        return policy_parts.FakeClient(fake, self.zone, self.cuts)
+
+
+class Node:
+    """One daemon: the deciding parts, without listeners."""
+
+    def __init__(self, world: 'World', name: str, zone: str) -> None:
+        """Create and connect the parts."""
+        settings = world.settings
+        self.members = members.Members(name, zone)
+        self.mesh = policy_parts.FakeMesh(
+            name,
+            zone,
+            world.meshes,
+            self.members,
+        )
+        world.meshes[name] = self.mesh
+        totals = counters.Counters()
+        self.gossip = gossip.Gossip(self.mesh, totals)
+        self.table = baselines.PolicyTable(
+            zone,
+            settings.routing,
+            clock.monotonic,
+            random.Random(f'{name} {SEED.number}'),
+        )
+        self.table.policy = world.policy
+        self.dispatcher = PolicyDispatcher(
+            settings.routing,
+            self.table,
+            totals,
+            name,
+        )
+        self.dispatcher.fakes = world.targets
+        self.dispatcher.cuts = world.cuts
+        self.dispatcher.zone = zone
+        self.evidence = evidence.EvidenceExchange(
+            settings.routing,
+            self.dispatcher,
+            self.members,
+            self.gossip,
+            totals,
+        )
+        self.owner = owner.QuotaOwner(
+            name,
+            settings.limits,
+            world.current.accounts.get,
+        )
+        self.limits = world.limiter(settings.limits, self, totals)
+        claims = ledger.Ledger(
+            settings.claims,
+            world.store,
+            self.members,
+            self.mesh,
+        )
+        self.orders = orders.OrderRunner(
+            settings.claims,
+            claims,
+            self.dispatcher,
+            totals,
+        )
+
+    def start(self, world: 'World') -> None:
+        """Take up the configuration and the ownership of quota."""
+        self.table.configure(world.current)
+        if world.policy in BASELINES:
+            self.make_plain()
+        self.owner.resume(clock.monotonic())
+        self.owner.take_up(world.owners, 1, clock.monotonic())
+        self.mesh.connect()
+
+    def make_plain(self) -> None:
+        """Take evidence as the baselines do."""
+        for room in self.table.rooms.values():
+            for held in room.pool.views.values():
+                held.__class__ = baselines.PlainView
+
+    async def keep_running(self) -> None:
+        """Note that the process runs."""
+        while True:
+            self.owner.tick(clock.monotonic())
+            await asyncio.sleep(0.1)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What happened in one run.
+
+    Attributes:
+        accounts: By client account.
+        times: Seconds to the answers of served reads.
+        reads: Reads sent.
+        reads_served: Reads served.
+        orders: Orders sent.
+        orders_served: Orders served.
+        excluded: Seconds until half the daemons excluded each target.
+        avoided: Pairs of daemon and healthy target that was avoided.
+    """
+
+    accounts: dict[str, policy_parts.Bookings] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            policy_parts.Bookings,
+        ),
+    )
+    times: list[float] = dataclasses.field(default_factory=list)
+    reads: int = 0
+    reads_served: int = 0
+    orders: int = 0
+    orders_served: int = 0
+    excluded: dict[str, float] = dataclasses.field(default_factory=dict)
+    avoided: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+
+
+class World:
+    """A deployment under one policy in one scenario."""
+
+    def __init__(
+        self,
+        deployment: str,
+        policy: str,
+        scenario: str,
+        daemons: int,
+    ) -> None:
+        """Read the sample configuration and create everything."""
+        self.deployment = deployment
+        self.policy = policy
+        self.scenario = scenario
+        self.chance = random.Random(f'{deployment} {scenario} {SEED.number}')
+        folder = ROOT / 'samples' / deployment
+        self.settings = read_settings(folder, policy)
+        self.current = read_configuration(folder)
+        self.zones = sorted(self.current.zones)
+        self.targets = {
+            held.name: policy_parts.FakeTarget(
+                held.name,
+                held.zone,
+                self.current.services[held.service].slots,
+                MEAN_SECONDS,
+            )
+            for held in self.current.targets.values()
+        }
+        self.cuts: set[tuple[str, str]] = set()
+        self.store = policy_parts.FaultyStore()
+        self.meshes: dict[str, policy_parts.FakeMesh] = {}
+        self.nodes = [
+            Node(self, f'vm{number}', self.zones[number % 3])
+            for number in range(daemons)
+        ]
+        names = [node.members.own for node in self.nodes]
+        empty = ownership.Ownership()
+        self.owners = ownership.Ownership(
+            ownership.assign(
+                empty,
+                range(self.settings.limits.partitions),
+                names,
+            ),
+        )
+        self.tally = Tally()
+        self.started: float = 0
+        self.faulty: set[str] = set()
+
+    async def run(self) -> Tally:
+        """Run the scenario."""
+        self.introduce()
+        for node in self.nodes:
+            node.start(self)
+        standing = [
+            asyncio.create_task(work)
+            for node in self.nodes
+            for work in (node.evidence.run(), node.keep_running())
+        ]
+        await asyncio.sleep(FILL_SECONDS)
+        self.started = clock.monotonic()
+        standing.append(asyncio.create_task(self.sample()))
+        standing.append(asyncio.create_task(self.fail()))
+        await asyncio.gather(*(self.send(*line) for line in self.requests()))
+        for task in standing:
+            task.cancel()
+        await asyncio.gather(*standing, return_exceptions=True)
+        return self.tally
+
+    def limiter(
+        self,
+        settings: entry.Limits,
+        node: Node,
+        totals: counters.Counters,
+    ) -> limiter.Limiter:
+        """Return what limits client accounts at a daemon."""
+        return quota.QuotaLimiter(settings, node.owner, node.mesh, totals)
+
+    def introduce(self) -> None:
+        """Make all daemons know each other."""
+        for node in self.nodes:
+            node.members.replace(
+                {
+                    other.members.own: members.own_item(
+                        policy_parts.place(),
+                        other.members.own_zone,
+                        'live',
+                    )
+                    for other in self.nodes
+                }
+            )
+
+    def requests(self) -> list[tuple[float, str, str, str]]:
+        """Return time, account, route and order identifier of requests."""
+        routes = [
+            held
+            for held in self.current.routes.values()
+            if held.access == 'keyed'
+        ]
+        reads = [held.name for held in routes if held.idempotent]
+        writes = [held.name for held in routes if not held.idempotent]
+        numbers = itertools.count()
+        found = []
+        for account in self.current.accounts.values():
+            rate = account.rate * (0.9 if self.is_calm(account.name) else 4)
+            at = self.chance.expovariate(rate)
+            while at < SECONDS:
+                order = self.chance.random() < 0.2
+                route = self.chance.choice(writes if order else reads)
+                name = f'o{next(numbers)}' if order else ''
+                found.append((at, account.name, route, name))
+                at += self.chance.expovariate(rate)
+        return sorted(found)
+
+    def is_calm(self, account: str) -> bool:
+        """Tell whether an account keeps to its rate."""
+        first = next(iter(self.current.accounts))
+        return self.scenario not in {'flood', 'all'} or account != first
+
+    async def send(
+        self,
+        at: float,
+        account: str,
+        route: str,
+        order: str,
+    ) -> None:
+        """Send one request to a daemon and note what became of it."""
+        await asyncio.sleep(self.started + at - clock.monotonic())
+        node = self.choose()
+        held = self.current.accounts[account]
+        booked = self.tally.accounts[account]
+        booked.times.append(at)
+        self.tally.orders += bool(order)
+        self.tally.reads += not order
+        try:
+            await node.limits.admit(held)
+            await self.carry_out(node, account, route, order)
+        except errors.RefusedError as error:
+            booked.refused += error.code is codes.OVER_RATE
+            return
+        booked.served += 1
+        self.tally.orders_served += bool(order)
+        if not order:
+            self.tally.reads_served += 1
+            elapsed = clock.monotonic() - self.started - at
+            self.tally.times.append(elapsed)
+
+    def choose(self) -> Node:
+        """Return the daemon that gets the next request."""
+        return self.chance.choice(self.nodes)
+
+    async def carry_out(
+        self,
+        node: Node,
+        account: str,
+        route: str,
+        order: str,
+    ) -> None:
+        """Run one request at a daemon.
+
+        Raises:
+            RefusedError: If it is refused or answered with an error.
+        """
+        index = {b'idempotency-key': order.encode()} if order else {}
+        request = call.Call(
+            order or 'r',
+            head.Head(
+                'POST', '/', '/', [(b'order', order.encode())], index, ''
+            ),
+            self.current.routes[route],
+            self.current.accounts[account],
+        )
+        run = node.orders.run if order else node.dispatcher.run
+        received = await run(request)
+        if received.status >= 500:
+            raise errors.RefusedError(codes.ANSWER_BROKEN)
+
+    def first_target(self, number: int = 0) -> policy_parts.FakeTarget:
+        """Return a target of the first read service."""
+        reads = [
+            held
+            for held in self.current.routes.values()
+            if held.idempotent and held.access == 'keyed'
+        ]
+        names = [
+            held.name
+            for held in self.current.targets.values()
+            if held.service == reads[0].service
+        ]
+        return self.targets[names[number]]
+
+    async def fail(self) -> None:
+        """Bring about the faults of the scenario."""
+        await asyncio.sleep(FAULT_AT)
+        everything = self.scenario == 'all'
+        single = {
+            'slow': {'slow_ms': 2000},
+            'erring': {'error_share': 1},
+            'stalling': {'stall_share': 1},
+            'flapping': {'error_share': 1, 'flap_seconds': 1.5},
+        }
+        gray = single.get(self.scenario)
+        if everything:
+            gray = single['stalling']
+        if gray:
+            fake = self.first_target()
+            fake.modes = policy_parts.modes.TargetModes(**gray)
+            self.faulty.add(fake.name)
+        if self.scenario == 'zone cut' or everything:
+            self.cuts.add((self.zones[1], self.zones[0]))
+        if self.scenario == 'zone emptied' or everything:
+            self.empty(self.zones[2])
+        if self.scenario == 'store outage' or everything:
+            self.store.down = True
+
+    def empty(self, zone: str) -> None:
+        """Empty a zone at every daemon."""
+        held = self.current.zones[zone]
+        self.current.zones[zone] = dataclasses.replace(held, state='emptied')
+        for node in self.nodes:
+            node.table.configure(self.current)
+
+    async def sample(self) -> None:
+        """Note which targets daemons exclude."""
+        while True:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            now = clock.monotonic()
+            counts: collections.Counter[str] = collections.Counter()
+            for node in self.nodes:
+                counts.update(self.excluded_by(node, now))
+            for name, count in counts.items():
+                if count * 2 >= len(self.nodes):
+                    self.tally.excluded.setdefault(name, now - self.started)
+
+    def excluded_by(self, node: Node, now: float) -> list[str]:
+        """Return the targets that a daemon excludes by evidence."""
+        found = [
+            name
+            for room in node.table.rooms.values()
+            for name, held in room.pool.views.items()
+            if name not in room.pool.gone
+            and held not in room.pool.routing_set(now)
+        ]
+        self.tally.avoided.update(
+            (node.members.own, name)
+            for name in found
+            if name not in self.faulty
+        )
+        return found
+
+
+def read_settings(folder: pathlib.Path, policy: str) -> entry.Entry:
+    """Read the sample settings; the version "alone" pools no evidence."""
+    settings = loader.load(folder / 'entry.jsonc', entry.Entry)
+    routing = settings.routing.model_copy(update={'judge': policy == 'ours'})
+    return settings.model_copy(update={'routing': routing})
+
+
+def read_configuration(folder: pathlib.Path) -> configuration.Configuration:
+    """Read the sample configuration."""
+    current = configuration.Configuration()
+    current.apply(
+        change.Change(
+            revision=1,
+            author='bench',
+            reason='bench',
+            token='bench',
+            at=0,
+            puts=settings_check.read_objects(folder / 'configuration.jsonc'),
+        ),
+    )
+    return current
--- a/bench/quota.py
+++ b/bench/quota.py
@@ -15,13 +15,14 @@
 import pathlib
 import statistics
 
-from bench import policy
+from bench import policy, policy_world
 from sapphirepaddle import clock, codes, errors
 from sapphirepaddle.gateway import limiter
-from sapphirepaddle.limits import part
+from sapphirepaddle.limits import part, quota
 from sapphirepaddle.objects import client_account
 from sapphirepaddle.peers import messages
 from sapphirepaddle.settings import entry
+from sapphirepaddle.telemetry import counters
 
 WAYS = (
     'static split',
@@ -73,7 +74,7 @@
         held.level -= 1
 
 
-class QuotaWorld(policy.World):
+class QuotaWorld(policy_world.World):
     """A deployment with one of the ways."""
 
     def __init__(self, deployment: str, way: str, scenario: str) -> None:
@@ -86,17 +87,17 @@
     def limiter(
         self,
         settings: entry.Limits,
-        node: policy.Node,
-        totals: policy.counters.Counters,
+        node: policy_world.Node,
+        totals: counters.Counters,
     ) -> limiter.Limiter:
         """Return what limits client accounts at a daemon."""
         if self.way == 'static split':
             return StaticLimiter(policy.DAEMONS)
         parts = settings.model_copy(update=PARTS[self.way])
         node.owner.settings = parts
-        return policy.quota.QuotaLimiter(parts, node.owner, node.mesh, totals)
+        return quota.QuotaLimiter(parts, node.owner, node.mesh, totals)
 
-    def choose(self) -> policy.Node:
+    def choose(self) -> policy_world.Node:
         """Return the daemon that gets the next request; some get more."""
         alive = [
             node for node in self.nodes if node.members.own not in self.lost
@@ -108,7 +109,7 @@
 
     async def fail(self) -> None:
         """Lose owners of quota."""
-        await asyncio.sleep(policy.FAULT_AT)
+        await asyncio.sleep(policy_world.FAULT_AT)
         if self.scenario == 'owners lost':
             for node in self.nodes[-LOST:]:
                 self.lost.add(node.members.own)
@@ -122,7 +123,7 @@
 
 def measure(deployment: str, scenario: str, way: str, seed: int) -> policy.Row:
     """Run one scenario with one way."""
-    policy.SEED = seed
+    policy_world.SEED.number = seed
     policy.silence()
     return policy.run_world(
         functools.partial(QuotaWorld, deployment, way, scenario),
--- a/sapphirepaddle/cli/common.py
+++ b/sapphirepaddle/cli/common.py
@@ -16,6 +16,7 @@
 Stop = asyncio.Event
 Main = abc.Callable[[Stop], abc.Coroutine[typing.Any, typing.Any, None]]
 Loaded = typing.TypeVar('Loaded', bound=base.Settings)
+FORCED_EXIT: typing.Final = 1
 FIRST_EXIT: typing.Final = 10
 
 SettingsFile = typing.Annotated[
@@ -83,6 +84,7 @@
         await task
     except asyncio.CancelledError:
         typer.echo('ended by a second signal', err=True)
+        sys.exit(FORCED_EXIT)
 
 
 def request_stop(stop: Stop, task: asyncio.Task[None]) -> None:
--- a/sapphirepaddle/codes.py
+++ b/sapphirepaddle/codes.py
@@ -43,6 +43,13 @@
     NO_RUN_STATEMENT,
     'The settings file has fields that are missing, unknown or out of range.',
 )
+ADDRESS_TAKEN: typing.Final = ResultCode(
+    1003,
+    'address-taken',
+    0,
+    NO_RUN_STATEMENT,
+    'An address of the settings cannot be listened on.',
+)
 OBJECT_INVALID: typing.Final = ResultCode(
     2001,
     'object-invalid',
--- a/sapphirepaddle/codes_page.py
+++ b/sapphirepaddle/codes_page.py
@@ -7,7 +7,8 @@
 Written from `sapphirepaddle/codes.py`. Answers to callers carry the number in
 `X-Result-Code` and in the JSON body, and state in `X-Run` whether the request
 "not run" or "may have run". The exit code of a program is 10 plus the
-thousands of the number, 2 for wrong usage, 0 for success.
+thousands of the number, 2 for wrong usage, 1 after a second signal, 0 for
+success.
 
 | number | name | HTTP status | states | meaning |
 |---|---|---|---|---|
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -78,7 +78,7 @@
         """Serve until told to stop, then stop without cutting off anything.
 
         Raises:
-            OSError: If an address cannot be listened on.
+            SettingsError: If an address cannot be listened on.
         """
         self.stop = stop
         sockets = open_sockets(self.settings)
@@ -229,7 +229,7 @@
     """Open the sockets for callers, peers and operators.
 
     Raises:
-        OSError: If an address is taken.
+        SettingsError: If an address is taken.
     """
     places: tuple[base.Listener, ...] = (
         settings.callers,
--- a/sapphirepaddle/gateway/http_server.py
+++ b/sapphirepaddle/gateway/http_server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from sapphirepaddle import codes, errors
 from sapphirepaddle.settings import base
 
 BACKLOG: typing.Final = 1024
@@ -32,12 +33,19 @@
     stated, since asyncio only then sends small writes without delay.
 
     Raises:
-        OSError: If the address is taken.
+        SettingsError: If the address cannot be listened on.
     """
     family = socket.AF_INET6 if ':' in place.host else socket.AF_INET
     opened = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    opened.bind((place.host, place.port))
+    try:
+        opened.bind((place.host, place.port))
+    except OSError as error:
+        opened.close()
+        raise errors.SettingsError(
+            codes.ADDRESS_TAKEN,
+            f'{place.host}:{place.port}: {error.strerror}',
+        ) from error
     opened.listen(BACKLOG)
     opened.setblocking(False)
     return opened
--- a/sapphirepaddle/standins/target.py
+++ b/sapphirepaddle/standins/target.py
@@ -16,6 +16,7 @@
 
 MILLISECONDS: typing.Final = 1000
 STALL_SECONDS: typing.Final = 3600
+SLICE_SECONDS: typing.Final = 0.1
 SHED: typing.Final = 503
 FAILED: typing.Final = 500
 MODES: typing.Final = pydantic.TypeAdapter(modes.TargetModes)
@@ -59,6 +60,7 @@
         inside: Requests that run or wait.
         started: When the instance started or was restarted.
         executions: The execution log.
+        cancelled: Runs that ended because their caller left.
         chance: Source of randomness.
     """
 
@@ -70,6 +72,7 @@
         self.inside = 0
         self.started = clock.monotonic()
         self.executions: list[Execution] = []
+        self.cancelled = 0
         self.chance = random.Random(settings.name)
 
     def application(self) -> applications.Starlette:
@@ -83,6 +86,7 @@
                     methods=[POST],
                 ),
                 routing.Route('/control/executions', self.read_executions),
+                routing.Route('/control/cancelled', self.read_cancelled),
                 routing.Route('/{path:path}', self.serve, methods=METHODS),
             ],
         )
@@ -115,6 +119,13 @@
             media_type='application/json',
         )
 
+    async def read_cancelled(
+        self,
+        _request: requests.Request,
+    ) -> responses.Response:
+        """Answer the number of cancelled runs."""
+        return responses.JSONResponse(self.cancelled)
+
     async def serve(self, request: requests.Request) -> responses.Response:
         """Run one request, or refuse it unrun."""
         body = await request.body()
@@ -156,13 +167,25 @@
         self.executions.append(note(request))
         now = clock.monotonic()
         mode = modes.GOOD if self.modes.is_off(now) else self.modes
-        await asyncio.sleep(self.work_ms(mode, now) / MILLISECONDS)
+        seconds = self.work_ms(mode, now) / MILLISECONDS
         if self.draws(mode.stall_share):
-            await asyncio.sleep(STALL_SECONDS)
+            seconds = STALL_SECONDS
+        if not await self.work(request, seconds):
+            return responses.JSONResponse(None, FAILED, self.echo(request))
         if self.draws(mode.error_share):
             return responses.JSONResponse(None, FAILED, self.echo(request))
         return self.answer(request, body, mode)
 
+    async def work(self, request: requests.Request, seconds: float) -> bool:
+        """Take the time of a run; False if it was cancelled meanwhile."""
+        until = clock.monotonic() + seconds
+        while clock.monotonic() < until:
+            await asyncio.sleep(min(SLICE_SECONDS, until - clock.monotonic()))
+            if await request.is_disconnected():
+                self.cancelled += 1
+                return False
+        return True
+
     def work_ms(self, mode: modes.TargetModes, now: float) -> float:
         """Return the time of one run in milliseconds."""
         work = self.settings.service_ms + mode.slow_ms
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -1,6 +1,7 @@
 """Settings files."""
 
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -101,6 +102,20 @@
         self.assertIn('1002 settings-invalid', ended.stderr)
         self.assertNotIn('Traceback', ended.stderr)
 
+    def test_taken_address(self) -> None:
+        """A second program on an address says which, and ends."""
+        with socket.create_server(('127.0.0.1', 0)) as holder:
+            port = holder.getsockname()[1]
+            self.path.write_text(f'{{"listener": {{"port": {port}}}}}')
+            code = 'from sapphirepaddle.cli import platform; platform.main()'
+            ended = subprocess.run(
+                [sys.executable, '-c', code, '--settings', str(self.path)],
+                capture_output=True,
+                text=True,
+            )
+        self.assertEqual(ended.returncode, 11)
+        self.assertIn(f'1003 address-taken: 127.0.0.1:{port}', ended.stderr)
+
 
 if __name__ == '__main__':
     unittest.main()
