--- a/sapphirepaddle/client.py
+++ b/sapphirepaddle/client.py
@@ -14,14 +14,14 @@
 from sapphirepaddle import codes, errors
 from sapphirepaddle.audit import entry
 from sapphirepaddle.objects import key
-from sapphirepaddle.operators import api, plan, planner, report
+from sapphirepaddle.operators import api, confirmer, plan, planner, report
 from sapphirepaddle.platform import remote
 
 KEY_BYTES: typing.Final = 24
 CALL_SECONDS: typing.Final = 60
 REPORT: typing.Final = pydantic.TypeAdapter(report.FleetReport)
 FOLLOWED: typing.Final = pydantic.TypeAdapter(api.Followed)
-CONFIRMATION: typing.Final = pydantic.TypeAdapter(planner.Confirmation)
+CONFIRMATION: typing.Final = pydantic.TypeAdapter(confirmer.Confirmation)
 HTTP_OK: typing.Final = 200
 
 
@@ -63,7 +63,7 @@
         signed = api.SIGNED.validate_json(body)
         return Offer(plan.ADAPTER.validate_json(signed.body), signed)
 
-    async def confirm(self, offer: Offer) -> planner.Confirmation:
+    async def confirm(self, offer: Offer) -> confirmer.Confirmation:
         """Carry out exactly a plan.
 
         Raises:
--- a/sapphirepaddle/daemon.py
+++ b/sapphirepaddle/daemon.py
@@ -10,7 +10,7 @@
 
 from sapphirepaddle import clock, parts
 from sapphirepaddle.gateway import caller_connection, http_server
-from sapphirepaddle.operators import api, planner
+from sapphirepaddle.operators import api, confirmer
 from sapphirepaddle.peers import members, messages
 from sapphirepaddle.settings import base, entry
 from sapphirepaddle.telemetry import counters, logs
@@ -60,7 +60,7 @@
         self.logger = logs.get('daemon')
         self.stop = asyncio.Event()
         handlers = self.parts.gossip.news.handlers
-        handlers[planner.LEAVE_TOPIC] = self.take_up_leave
+        handlers[confirmer.LEAVE_TOPIC] = self.take_up_leave
 
     def note_state(self) -> None:
         """Log a change of state and add it to the audit trail."""
@@ -69,7 +69,7 @@
 
     def take_up_leave(self, item: messages.Item) -> None:
         """Leave if an operator asked this VM to, after its start."""
-        asked_at = item.version / planner.MILLISECONDS
+        asked_at = item.version / confirmer.MILLISECONDS
         started_at = self.parts.mesh.own.incarnation / NANOSECONDS
         if item.key == self.settings.vm and asked_at > started_at:
             self.stop.set()
--- a/sapphirepaddle/operators/api.py
+++ b/sapphirepaddle/operators/api.py
@@ -215,7 +215,7 @@
             signed.signature,
             self.parts.settings.peer_secrets,
         )
-        outcome = await self.parts.planner.confirm(agreed, caller.name)
+        outcome = await self.parts.confirmer.confirm(agreed, caller.name)
         return encode(outcome)
 
 
--- a/sapphirepaddle/parts.py
+++ b/sapphirepaddle/parts.py
@@ -18,7 +18,7 @@
 from sapphirepaddle.gateway import app, dispatch, in_force
 from sapphirepaddle.limits import keeper, owner, ownership, quota
 from sapphirepaddle.objects import client_account
-from sapphirepaddle.operators import planner
+from sapphirepaddle.operators import confirmer, planner
 from sapphirepaddle.peers import gossip, handshake, members, mesh, messages
 from sapphirepaddle.platform import remote
 from sapphirepaddle.routing import table
@@ -50,7 +50,8 @@
         orders: Running of claimed requests.
         limits: Admission of requests.
         audit: The audit trail.
-        planner: Plans of operators.
+        planner: Making of plans.
+        confirmer: Carrying out of plans.
         gateway: Serving of callers.
     """
 
@@ -207,11 +208,11 @@
             settings.audit.retention_days,
         )
         self.audit.may_prune = self.watcher.is_watcher
-        self.planner = planner.Planner(
+        self.planner = planner.Planner(self.sync, self.dispatcher.table)
+        self.confirmer = confirmer.Confirmer(
             self.sync,
             self.store,
             self.gossip,
-            self.dispatcher.table,
             self.audit,
         )
         self.evidence.audit = self.audit
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -91,8 +91,8 @@
     Mutation(
         'a creation is conditional',
         'proofs.test_configuration.TestRace',
-        'from sapphirepaddle.operators import planner\n'
-        'planner.check_basis = lambda agreed, current: None',
+        'from sapphirepaddle.operators import confirmer\n'
+        'confirmer.check_basis = lambda agreed, current: None',
     ),
     Mutation(
         'guards of connections to targets',
--- a/tests/operators/test_planner.py
+++ b/tests/operators/test_planner.py
@@ -10,7 +10,7 @@
 from sapphirepaddle.fleet import configuration_sync
 from sapphirepaddle.gateway import in_force
 from sapphirepaddle.objects import change, key
-from sapphirepaddle.operators import access, plan, planner
+from sapphirepaddle.operators import access, confirmer, plan, planner
 from sapphirepaddle.peers import gossip, handshake, members, mesh
 from sapphirepaddle.platform import change_log, memory
 from sapphirepaddle.routing import table
@@ -65,11 +65,11 @@
             random.Random(1),
         )
         self.audit = trail.AuditTrail('vm1', 1, store, totals, 30)
-        self.planner = planner.Planner(
+        self.planner = planner.Planner(self.sync, services)
+        self.confirmer = confirmer.Confirmer(
             self.sync,
             store,
             gossip.Gossip(peers, totals),
-            services,
             self.audit,
         )
 
@@ -139,7 +139,7 @@
             self.code_of('set-account', account='x', rate=-1), 2001
         )
         emptied = self.daemons[0].make('empty-zone', zone='a')
-        await self.daemons[0].planner.confirm(emptied, 'olga')
+        await self.daemons[0].confirmer.confirm(emptied, 'olga')
         self.assertEqual(self.code_of('empty-zone', zone='b'), 6004)
         made = self.daemons[0].make('empty-zone', override=True, zone='b')
         self.assertTrue(made.floors[0].is_broken)
@@ -160,8 +160,8 @@
     async def test_twice_at_two_daemons(self) -> None:
         """Confirming again elsewhere does nothing more."""
         made = self.daemons[0].make('drain-target', target='reads-1')
-        first = await self.daemons[0].planner.confirm(made, 'olga')
-        second = await self.daemons[1].planner.confirm(made, 'olga')
+        first = await self.daemons[0].confirmer.confirm(made, 'olga')
+        second = await self.daemons[1].confirmer.confirm(made, 'olga')
         self.assertEqual((first.revision, second.revision), (2, 2))
         self.assertEqual(self.daemons[1].current.revision, 2)
 
@@ -171,9 +171,9 @@
             daemon.make('set-account', account='guild', rate=rate)
             for daemon, rate in zip(self.daemons, (5, 6), strict=True)
         ]
-        await self.daemons[0].planner.confirm(plans[0], 'olga')
+        await self.daemons[0].confirmer.confirm(plans[0], 'olga')
         with self.assertRaises(errors.OperatorError) as caught:
-            await self.daemons[1].planner.confirm(plans[1], 'olga')
+            await self.daemons[1].confirmer.confirm(plans[1], 'olga')
         self.assertIs(caught.exception.code, codes.PLAN_STALE)
         self.assertIn('"rate":5', caught.exception.detail)
 
@@ -181,8 +181,8 @@
         """A plan survives changes of other objects."""
         made = self.daemons[1].make('drain-target', target='reads-1')
         other = self.daemons[0].make('drain-target', target='reads-2')
-        await self.daemons[0].planner.confirm(other, 'olga')
-        outcome = await self.daemons[1].planner.confirm(made, 'olga')
+        await self.daemons[0].confirmer.confirm(other, 'olga')
+        outcome = await self.daemons[1].confirmer.confirm(made, 'olga')
         self.assertEqual(outcome.revision, 3)
 
     async def test_silent_platform(self) -> None:
@@ -192,13 +192,13 @@
         with mock.patch.object(change_log, 'READ_BACK_SECONDS', 0):
             made = daemon.make('drain-target', target='reads-1')
             with self.assertRaises(errors.PlatformUnavailableError):
-                await daemon.planner.confirm(made, 'olga')
+                await daemon.confirmer.confirm(made, 'olga')
             made = daemon.make('withdraw-key', digest=DIGEST)
-            outcome = await daemon.planner.confirm(made, 'olga')
+            outcome = await daemon.confirmer.confirm(made, 'olga')
         self.assertEqual(outcome.state, 'spread')
-        news = daemon.planner.gossip.news
+        news = daemon.confirmer.gossip.news
         self.assertIsNotNone(news.find('withdrawn', DIGEST))
-        await daemon.planner.gossip.mesh.close()
+        await daemon.confirmer.gossip.mesh.close()
 
 
 class TestLostAnswers(PlannerCase):
@@ -218,7 +218,7 @@
         ]
         await asyncio.gather(
             *(
-                daemon.planner.confirm(made, 'olga')
+                daemon.confirmer.confirm(made, 'olga')
                 for made in plans
                 for daemon in self.daemons
             ),
--- a/tests/support/operator.py
+++ b/tests/support/operator.py
@@ -4,7 +4,7 @@
 import typing
 
 from sapphirepaddle import client
-from sapphirepaddle.operators import planner
+from sapphirepaddle.operators import confirmer, planner
 from sapphirepaddle.standins import fleet
 
 
@@ -14,7 +14,7 @@
     intent: str,
     overrides_floor: bool = False,
     **fields: typing.Any,
-) -> planner.Confirmation:
+) -> confirmer.Confirmation:
     """State an intent to a daemon and confirm its plan."""
     made = offer(running, daemon, intent, overrides_floor, **fields)
     return confirm(running, daemon, made)
@@ -41,7 +41,7 @@
     running: fleet.Fleet,
     daemon: str,
     made: client.Offer,
-) -> planner.Confirmation:
+) -> confirmer.Confirmation:
     """Confirm a plan at a daemon."""
     return call(running, daemon, lambda opened: opened.confirm(made))
 
