--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -131,6 +131,27 @@
         '    original(self, configured, targets, frozenset())\n'
         'pool.ServicePool.configure = configure',
     ),
+    Mutation(
+        'keys are left out of what targets see',
+        'proofs.test_keys.TestHidden',
+        'from sapphirepaddle.gateway import headers\n'
+        "headers.OWN -= {b'authorization', b'x-api-key'}",
+    ),
+    Mutation(
+        'an older configuration is never taken up',
+        'objects.test_configuration.TestInForce.test_never_back',
+        'from sapphirepaddle.gateway import in_force\n'
+        'def replace(self, newer):\n'
+        '    self.configuration = newer\n'
+        '    return True\n'
+        'in_force.InForce.replace = replace',
+    ),
+    Mutation(
+        'a caller that left cancels its read',
+        'proofs.test_caller_gone.TestCallerGone.test_read_is_cancelled',
+        'from sapphirepaddle.gateway import caller_connection\n'
+        'caller_connection.Disconnect.fire = lambda self: None',
+    ),
     Mutation(
         'a planned stop waits',
         'proofs.test_planned_stop',
