Judge runs against tokens within the patience of their route

Cause: since tokens are judged instead of arrivals, a daemon that holds admitted requests back and sends them together would pass the proofs of rate.

Change: each run needs a token of its own that was spent at most the longest patience of a route before it. The check of a token before each run is part of it.

Conclusion: as strict as windows of arrivals for requests that are held back.

--- a/tests/support/admissions.py
+++ b/tests/support/admissions.py
@@ -53,25 +53,34 @@
     return {account: sorted(found) for account, found in times.items()}
 
 
-def without(
+def unmatched(
     runs: abc.Iterable[sent.Run],
     account: str,
     tokens: abc.Sequence[float],
+    patience: float,
 ) -> int:
-    """Return the most first runs, at any time, without a token before.
+    """Return the first runs that have no token of their own.
 
-    A sending that was tried again counts once, at its first run.
+    A token allows one run, until the patience of its request is over. A
+    sending that was tried again counts once, at its first run.
+
+    Args:
+        runs: What targets ran.
+        account: The client account.
+        tokens: Times of its spent tokens, in order.
+        patience: Longest time from a token to its run, in seconds.
     """
     first: dict[str, float] = {}
     for run in sorted(runs, key=lambda run: run.at):
         if run.account == account:
             first.setdefault(run.sending, run.at)
-    events = [
-        *((at, 0, -1) for at in tokens),
-        *((at, 1, 1) for at in first.values()),
-    ]
-    balance, most = 0, 0
-    for _, _, change in sorted(events):
-        balance += change
-        most = max(most, balance)
-    return most
+    waiting = collections.deque(tokens)
+    count = 0
+    for at in sorted(first.values()):
+        while waiting and waiting[0] < at - patience:
+            waiting.popleft()
+        if waiting and waiting[0] <= at:
+            waiting.popleft()
+        else:
+            count += 1
+    return count
--- a/tests/support/proof.py
+++ b/tests/support/proof.py
@@ -17,6 +17,8 @@
 from tests.support import admissions
 
 Action = typing.Callable[[], typing.Any]
+MOST_PATIENCE = 5
+"""Longest patience of a route, in seconds."""
 QUICK_STOP = {'announce_seconds': 0.5, 'drain_seconds': 5}
 
 
@@ -52,12 +54,13 @@
 
         Tokens are judged when they are spent: between a token and the run
         lies the time of daemon and target, which a busy machine stretches.
-        At no time more sendings have run than tokens were spent.
+        Each run has a token of its own, spent within the patience of its
+        route before it.
         """
         spent = self.tokens.get(account, [])
         most = checks.excess(spent, rate, burst)
         case.assertLessEqual(most, 0, f'{account} {story}')
-        free = admissions.without(self.runs, account, spent)
+        free = admissions.unmatched(self.runs, account, spent, MOST_PATIENCE)
         case.assertEqual(free, 0, f'{account} {story}')
 
 
@@ -120,7 +123,7 @@
                 'prefix': '/orders',
                 'service': 'orders',
                 'idempotent': False,
-                'patience_ms': 5000,
+                'patience_ms': MOST_PATIENCE * 1000,
                 'deadline_ms': 3000,
             },
         ),
--- a/tests/support/test_admissions.py
+++ b/tests/support/test_admissions.py
@@ -19,30 +19,46 @@
     )
 
 
-class TestWithout(unittest.TestCase):
-    """Runs without a token before them."""
+class TestUnmatched(unittest.TestCase):
+    """Runs without a token of their own."""
+
+    def unmatched(
+        self,
+        runs: list[sent.Run],
+        tokens: list[float],
+        patience: float = 5,
+    ) -> int:
+        """Return the runs of one account without a token."""
+        return admissions.unmatched(runs, 'guild', tokens, patience)
 
     def test_each_after_its_token(self) -> None:
         runs = [run('a', 1.0), run('b', 3.5)]
-        found = admissions.without(runs, 'guild', [0.9, 1.1])
-        self.assertEqual(found, 0)
+        self.assertEqual(self.unmatched(runs, [0.9, 1.1]), 0)
 
     def test_a_token_that_comes_too_late(self) -> None:
         runs = [run('a', 1.0), run('b', 1.1)]
-        found = admissions.without(runs, 'guild', [0.9, 1.2])
-        self.assertEqual(found, 1)
+        self.assertEqual(self.unmatched(runs, [0.9, 1.2]), 1)
+
+    def test_requests_held_back_and_sent_together(self) -> None:
+        runs = [run('a', 9.0), run('b', 9.1), run('c', 9.2)]
+        tokens = [1.0, 3.0, 8.0]
+        self.assertEqual(self.unmatched(runs, tokens), 2)
+
+    def test_an_unused_token_is_passed_over(self) -> None:
+        runs = [run('a', 6.0)]
+        self.assertEqual(self.unmatched(runs, [0.5, 5.9]), 0)
 
     def test_no_tokens(self) -> None:
         runs = [run('a', 1.0), run('b', 1.1)]
-        self.assertEqual(admissions.without(runs, 'guild', []), 2)
+        self.assertEqual(self.unmatched(runs, []), 2)
 
     def test_sent_again(self) -> None:
         runs = [run('a', 2.0), run('a', 1.0)]
-        self.assertEqual(admissions.without(runs, 'guild', [0.9]), 0)
+        self.assertEqual(self.unmatched(runs, [0.9]), 0)
 
     def test_another_account(self) -> None:
         runs = [run('a', 1.0, 'weavers')]
-        self.assertEqual(admissions.without(runs, 'guild', []), 0)
+        self.assertEqual(self.unmatched(runs, []), 0)
 
 
 class TestRead(unittest.TestCase):
