Let two daemons of a zone read the store at the full price

Ruled out: readers that push changes (a log of changes and repairs of lost datagrams, for a tenth of the remaining price); late watches alone (they may lag by seconds and cannot keep the bounds of draining and configuration).

Change: the last two daemons of a zone by hash that were heard within 1.3 s and have contact watch with fresh calls and tell changes at once; all others watch with calls that may be answered late. Digests carry a fingerprint of the registrations. A daemon that differs from a reader for 0.7 s reads by a fresh call, and a daemon that sees no readers becomes one. After a restart the entry among the daemons is not written again. The first list of a process may be late; later ones may not.

Both mutations of the new mechanisms fail their tests.

--- a/sapphirepaddle/directory/follower.py
+++ b/sapphirepaddle/directory/follower.py
@@ -15,6 +15,8 @@
 GATHER_SECONDS: typing.Final = 0.6
 """Pause after a change, so that further ones come with the next call; well
 below the time in which changes must be in force."""
+READER_GATHER_SECONDS: typing.Final = 0.4
+"""The same for a reader, whose word the others wait for."""
 RETRY_SECONDS: typing.Final = 0.5
 """Pause after a failed call, drawn between half and all of it."""
 MOST_RETRY_SECONDS: typing.Final = 1.0
@@ -24,9 +26,18 @@
 """Longest wait for the follower that tries for both."""
 
 
+def always() -> bool:
+    """Return that all calls must be fresh."""
+    return True
+
+
 class Follower:
     """Keeps the objects of one kind up to date.
 
+    A reader waits for changes with calls that are answered with the newest
+    state; the others take answers that may be late, at a lower price, and
+    ask again with a fresh call when they are told that they are behind.
+
     Attributes:
         source: Where the objects are.
         kind: Their kind.
@@ -39,6 +50,10 @@
         back: Set while the source answers.
         leader: Another follower of the same source, which tries for both
             while it is away; None for none.
+        has_read: Whether a list was read.
+        is_reader: Returns whether this daemon is a reader.
+        is_behind: Whether the next call must be fresh.
+        patience: Time limit of the call that waits; None for none.
         logger: Log of the contact with the source.
     """
 
@@ -60,6 +75,10 @@
         self.back_at: float | None = None
         self.back = asyncio.Event()
         self.leader: Follower | None = None
+        self.is_reader: abc.Callable[[], bool] = always
+        self.has_read = False
+        self.is_behind = False
+        self.patience: asyncio.Timeout | None = None
         self.logger = logs.get('follower').bind(kind=kind)
 
     async def run(self) -> None:
@@ -78,24 +97,65 @@
         if not self.revision:
             await self.read_all()
             return
-        reading = await self.source.watch(
-            self.kind,
-            self.revision,
-            WATCH_SECONDS,
-        )
+        started = clock.monotonic()
+        reading = await self.wait()
+        if reading is None:
+            return
         self.note_contact()
-        self.revision = reading.revision
+        self.revision = max(self.revision, reading.revision)
         if reading.entries:
             self.take_changes(reading.entries)
-            await asyncio.sleep(GATHER_SECONDS)
+        is_early = clock.monotonic() - started < WATCH_SECONDS / 2
+        if reading.entries or is_early:
+            await asyncio.sleep(self.gathering())
+
+    def gathering(self) -> float:
+        """Return the pause before the next call."""
+        if self.is_reader():
+            return READER_GATHER_SECONDS
+        return GATHER_SECONDS
+
+    async def wait(self) -> source.Reading | None:
+        """Wait for changes; None if a fresh call is wanted instead."""
+        is_fresh = self.is_behind or self.is_reader()
+        patience = asyncio.timeout(None)
+        self.patience = patience
+        try:
+            async with patience:
+                reading = await self.source.watch(
+                    self.kind,
+                    self.revision,
+                    WATCH_SECONDS,
+                    is_stale_allowed=not is_fresh,
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self.patience = None
+        if is_fresh:
+            self.is_behind = False
+        return reading
+
+    def refresh(self) -> None:
+        """Ask again with a fresh call, at once unless changes are gathered."""
+        self.is_behind = True
+        if self.patience is not None and not self.patience.expired():
+            self.patience.reschedule(asyncio.get_running_loop().time())
 
     async def read_all(self) -> None:
-        """Read all objects."""
+        """Read all objects.
+
+        The first list may be late: the calls that follow, or the readers'
+        word, close the gap. Later ones may not, as they would take back
+        what is known.
+        """
+        is_first = self.lost_at is None and not self.has_read
         reading = await self.source.list_all(
             self.kind,
-            is_stale_allowed=False,
+            is_stale_allowed=is_first,
         )
         self.note_contact()
+        self.has_read = True
         self.revision = reading.revision
         self.take_all(reading.entries)
 
--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -16,6 +16,8 @@
         is_away: Whether calls fail.
         changed: Notified at each change.
         calls: Calls made so far.
+        fresh_calls: Those among them that had to be fresh.
+        stale_revision: Last change that stale calls see; None for all.
     """
 
     def __init__(self) -> None:
@@ -26,14 +28,17 @@
         self.is_away = False
         self.changed = asyncio.Condition()
         self.calls = 0
+        self.fresh_calls = 0
+        self.stale_revision: int | None = None
 
-    def check(self) -> None:
+    def check(self, is_stale_allowed: bool = False) -> None:
         """Count a call, which fails while the source is away.
 
         Raises:
             SourceError: If it is away.
         """
         self.calls += 1
+        self.fresh_calls += not is_stale_allowed
         if self.is_away:
             raise errors.SourceError('away')
 
@@ -43,38 +48,68 @@
         is_stale_allowed: bool,
     ) -> source.Reading:
         """Return all objects of a kind."""
-        self.check()
+        self.check(is_stale_allowed)
+        if is_stale_allowed and self.stale_revision is not None:
+            return self.list_at(kind, self.stale_revision)
         held = self.objects.get(kind, {})
         entries = [source.Entry(*pair) for pair in held.items()]
         return source.Reading(self.revision, entries)
 
+    def list_at(self, kind: str, last: int) -> source.Reading:
+        """Return all objects of a kind as they were at a revision."""
+        held = {entry.name: entry for entry in self.after(kind, 0, last)}
+        entries = [
+            entry for entry in held.values() if entry.content is not None
+        ]
+        return source.Reading(last, entries)
+
     async def watch(
         self,
         kind: str,
         revision: int,
         seconds: float,
+        is_stale_allowed: bool,
     ) -> source.Reading:
         """Wait for changes after a revision."""
-        self.check()
+        self.check(is_stale_allowed)
         if self.changes and revision < self.changes[0][0] - 1:
             raise errors.HistoryLostError(kind)
         async with self.changed:
             try:
                 async with asyncio.timeout(seconds):
                     await self.changed.wait_for(
-                        lambda: bool(self.after(kind, revision)),
+                        lambda: bool(
+                            self.after(
+                                kind,
+                                revision,
+                                self.seen_by(is_stale_allowed),
+                            ),
+                        ),
                     )
             except TimeoutError:
-                return source.Reading(self.revision, [])
-        self.check()
-        return source.Reading(self.revision, self.after(kind, revision))
+                return source.Reading(revision, [])
+        if self.is_away:
+            raise errors.SourceError('away')
+        last = self.seen_by(is_stale_allowed)
+        return source.Reading(last, self.after(kind, revision, last))
+
+    def seen_by(self, is_stale_allowed: bool) -> int:
+        """Return the last revision that a call sees."""
+        if is_stale_allowed and self.stale_revision is not None:
+            return self.stale_revision
+        return self.revision
 
-    def after(self, kind: str, revision: int) -> list[source.Entry]:
-        """Return the changes of a kind after a revision."""
+    def after(
+        self,
+        kind: str,
+        revision: int,
+        last: int,
+    ) -> list[source.Entry]:
+        """Return the changes of a kind after a revision, up to another."""
         return [
             entry
             for changed_at, changed_kind, entry in self.changes
-            if changed_at > revision and changed_kind == kind
+            if revision < changed_at <= last and changed_kind == kind
         ]
 
     async def put(self, kind: str, entry: source.Entry) -> None:
--- a/sapphirepaddle/directory/source.py
+++ b/sapphirepaddle/directory/source.py
@@ -54,13 +54,21 @@
         """
 
     @abc.abstractmethod
-    async def watch(self, kind: str, revision: int, seconds: float) -> Reading:
+    async def watch(
+        self,
+        kind: str,
+        revision: int,
+        seconds: float,
+        is_stale_allowed: bool,
+    ) -> Reading:
         """Wait for changes after a revision.
 
         Args:
             kind: Kind of object.
             revision: Changes up to this one are known.
             seconds: Longest wait.
+            is_stale_allowed: Whether changes may come seconds late, for a
+                lower price.
 
         Raises:
             HistoryLostError: If changes since the revision are gone.
--- a/sapphirepaddle/directory/target_list.py
+++ b/sapphirepaddle/directory/target_list.py
@@ -5,7 +5,12 @@
 from collections import abc
 
 from sapphirepaddle import clock
-from sapphirepaddle.directory import directory, registration, source
+from sapphirepaddle.directory import (
+    directory,
+    fingerprint,
+    registration,
+    source,
+)
 from sapphirepaddle.telemetry import logs
 
 RETURN_SECONDS: typing.Final = 2.3
@@ -28,6 +33,7 @@
         read_back_at: Returns when the source answered again, or None.
         vanished: Entries that are gone but kept, with the time of their
             end.
+        fingerprint: Mark of what the source lists.
         logger: Log of entries that cannot be read.
     """
 
@@ -42,12 +48,15 @@
         self.decode = decode
         self.read_back_at = read_back_at
         self.vanished: dict[str, float] = {}
+        self.fingerprint = fingerprint.Fingerprint()
         self.logger = logs.get('targets')
 
     def take_all(self, entries: list[source.Entry]) -> None:
         """Take up a whole list."""
         self.take_changes(entries)
         listed = {entry.name for entry in entries}
+        for name in self.fingerprint.marks.keys() - listed:
+            self.fingerprint.drop(name)
         for name in self.directory.names() - listed:
             self.vanish(name)
         self.directory.has_targets = True
@@ -70,13 +79,16 @@
                 target=name,
                 reason=str(error),
             )
+            self.fingerprint.drop(name)
             self.directory.remove_target(name, 'malformed entry')
             return
+        self.fingerprint.note(held)
         self.vanished.pop(name, None)
         self.directory.update_target(held)
 
     def vanish(self, name: str) -> None:
         """Drop a target whose entry is gone, at once or a little later."""
+        self.fingerprint.drop(name)
         back_at = self.read_back_at()
         now = clock.monotonic()
         if back_at is None or now - back_at > RETURN_SECONDS:
--- a/sapphirepaddle/edge/knowledge.py
+++ b/sapphirepaddle/edge/knowledge.py
@@ -14,7 +14,7 @@
     source,
     target_list,
 )
-from sapphirepaddle.edge import snapshots
+from sapphirepaddle.edge import reading, snapshots
 from sapphirepaddle.peers import digest, introduction, pooling
 from sapphirepaddle.settings import edge
 from sapphirepaddle.telemetry import logs
@@ -23,7 +23,7 @@
 """Pause between looks at what is missing."""
 TENTHS: typing.Final = 10
 """Tenths of a second in a second."""
-LAG_SECONDS: typing.Final = 1.0
+LAG_SECONDS: typing.Final = 0.7
 """Time for which peers may have a newer configuration before it is read
 apart from the watch: a little more than watches gather changes."""
 
@@ -38,6 +38,7 @@
         pooling: Tells what peers have in force.
         configurations: Follows the configuration.
         targets: Follows the registrations.
+        reading: Whether this daemon reads for its zone.
         raw_configuration: The configuration as the source served it.
         raw_targets: Registrations as the source served them.
         snapshots: Exchange of snapshots with peers.
@@ -76,6 +77,12 @@
             port.decode_target,
             self.returned,
         )
+        pooled.read_targets_mark = self.targets_mark
+        self.reading = reading.Reading(
+            self.targets,
+            self.configurations,
+            pooled,
+        )
         self.raw_configuration: source.Content = {}
         self.raw_targets: dict[str, source.Content] = {}
         self.snapshots = snapshots.Snapshots(
@@ -104,6 +111,10 @@
         age = (clock.monotonic() - self.targets.back_at) * TENTHS
         return min(int(age), digest.LONG_AGO)
 
+    def targets_mark(self) -> int:
+        """Return the fingerprint of the registrations known here."""
+        return self.target_list.fingerprint.total
+
     def take_configuration(self, entries: list[source.Entry]) -> None:
         """Take up the configuration if it is among the entries."""
         for entry in entries:
@@ -119,6 +130,8 @@
             return
         if self.directory.put_in_force(newer):
             self.raw_configuration = content
+            if self.reading.is_reader():
+                self.pooling.note_news()
 
     def take_all_targets(self, entries: list[source.Entry]) -> None:
         """Take up the whole list of registrations."""
@@ -129,7 +142,10 @@
     def take_targets(self, entries: list[source.Entry]) -> None:
         """Take up changed registrations."""
         self.note_targets(entries)
+        before = self.targets_mark()
         self.target_list.take_changes(entries)
+        if self.targets_mark() != before and self.reading.is_reader():
+            self.pooling.note_news()
 
     def note_targets(self, entries: list[source.Entry]) -> None:
         """Keep the registrations as they were served."""
@@ -159,6 +175,7 @@
         """
         while True:
             await asyncio.sleep(CHECK_SECONDS)
+            self.reading.review()
             if not self.directory.is_complete:
                 await self.ask_peers()
             elif self.lag() > LAG_SECONDS:
@@ -213,7 +230,7 @@
             newest=self.pooling.uptake.newest,
         )
         try:
-            reading = await self.port.source.list_all(
+            found = await self.port.source.list_all(
                 self.port.configuration_kind,
                 is_stale_allowed=False,
             )
@@ -221,4 +238,4 @@
             self.logger.info('source silent', reason=error.detail)
             await self.fetch(self.pooling.uptake.newest_host)
             return
-        self.take_configuration(reading.entries)
+        self.take_configuration(found.entries)
--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -23,6 +23,7 @@
         settings: Settings of the daemon.
         port: The platform.
         pooling: Introduces this daemon to the others.
+        is_listed: Whether the own entry was in the list.
         logger: Log of the entry.
     """
 
@@ -36,6 +37,7 @@
         self.settings = settings
         self.port = port
         self.pooling = pooled
+        self.is_listed = False
         self.logger = logs.get('membership')
 
     async def run(self) -> None:
@@ -48,7 +50,12 @@
         while True:
             await asyncio.sleep(REVIEW_SECONDS)
             self.pooling.fleet.forget_silent()
-            await self.review(is_stale_allowed=True)
+            await self.review_entry()
+
+    async def review_entry(self) -> None:
+        """Read the list, and write the own entry if it is not there."""
+        if await self.review(is_stale_allowed=True) and not self.is_listed:
+            await self.write()
 
     @property
     def own_host(self) -> str:
@@ -56,7 +63,20 @@
         return self.pooling.fleet.own.host
 
     async def enter(self) -> bool:
-        """Write the own entry and read those of the others.
+        """Have the own entry listed and read those of the others.
+
+        After a restart the entry of before still holds: the others learn
+        of the new start by its introduction.
+
+        Returns:
+            Whether the entry is listed and the list was read.
+        """
+        if await self.review(is_stale_allowed=True) and self.is_listed:
+            return True
+        return await self.write() and await self.review(is_stale_allowed=False)
+
+    async def write(self) -> bool:
+        """Write the own entry.
 
         Returns:
             Whether the source took it.
@@ -68,7 +88,7 @@
         except errors.SourceError as error:
             self.logger.warning('not listed', reason=error.detail)
             return False
-        return await self.review(is_stale_allowed=False)
+        return True
 
     async def review(self, is_stale_allowed: bool) -> bool:
         """Read the list and greet the daemons that are new.
@@ -84,6 +104,7 @@
         except errors.SourceError as error:
             self.logger.warning('list not read', reason=error.detail)
             return False
+        self.is_listed = False
         for entry in reading.entries:
             self.take_up(entry)
         return True
@@ -99,7 +120,10 @@
                 reason=str(error),
             )
             return
-        if self.pooling.fleet.add(held):
+        own = self.pooling.fleet.own
+        if held.name == own.name:
+            self.is_listed = (held.zone, held.host) == (own.zone, own.host)
+        elif self.pooling.fleet.add(held):
             self.pooling.greet((held.host,))
 
     async def leave(self) -> None:
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -30,6 +30,7 @@
   accounts @6 :List(AccountCount);
   services @7 :List(ServiceCount);
   contactAge @8 :UInt16;
+  targetsMark @9 :UInt32;
 }
 
 struct Hello {
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -66,6 +66,7 @@
         version: Version of the configuration in force there.
         contact_age: Tenths of a second since its contact with the source
             came back; 0 while it is lost, the maximum if it never was.
+        targets_mark: Fingerprint of the registrations it knows; 0 for none.
         targets: Counts by target.
         accounts: Counts by account.
         services: Counts by service.
@@ -77,6 +78,7 @@
     is_leaving: bool = False
     version: int = 0
     contact_age: int = LONG_AGO
+    targets_mark: int = 0
     targets: tuple[TargetCount, ...] = ()
     accounts: tuple[AccountCount, ...] = ()
     services: tuple[ServiceCount, ...] = ()
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -81,6 +81,7 @@
         is_leaving=reader.isLeaving,
         version=reader.version,
         contact_age=reader.contactAge,
+        targets_mark=reader.targetsMark,
         targets=tuple(
             digest.TargetCount(held.target, held.good, held.bad, held.running)
             for held in reader.targets
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -18,6 +18,11 @@
 OUTAGE_TENTHS: typing.Final = 100
 """Age of a regained contact, in tenths of a second, up to which it belongs
 to the same outage."""
+READERS: typing.Final = 2
+"""Daemons of a zone that read the source for the others."""
+READER_SILENCE_SECONDS: typing.Final = 1.3
+"""Silence after which a daemon does not count as a reader: it reports every
+second, and its word may pass a hub."""
 FORGET_SECONDS: typing.Final = 45.0
 """Silence after which a daemon counts as gone."""
 
@@ -29,6 +34,7 @@
         member: How it introduced itself.
         heard: When something of it was heard last.
         contact_age: Tenths of a second since it had the source back.
+        targets_mark: Fingerprint of the registrations that it knows.
     """
 
     def __init__(self, held: member.Member, now: float) -> None:
@@ -36,6 +42,7 @@
         self.member = held
         self.heard = now
         self.contact_age = digest.LONG_AGO
+        self.targets_mark = 0
 
 
 class Fleet:
@@ -98,6 +105,7 @@
         self,
         key: int,
         contact_age: int = digest.LONG_AGO,
+        targets_mark: int = 0,
     ) -> None:
         """Take in that something of a daemon was heard."""
         self.heard = clock.monotonic()
@@ -108,6 +116,7 @@
                 self.covered += silence / self.size
             known.heard = self.heard
             known.contact_age = contact_age
+            known.targets_mark = targets_mark
 
     def forget_silent(self) -> None:
         """Drop the daemons that were silent for long."""
@@ -160,6 +169,23 @@
         lost = sum(age < OUTAGE_TENTHS for age in ages)
         return lost * 2 >= len(ages)
 
+    def reader_keys(self) -> list[int]:
+        """Return the hashes of the daemons that read the source.
+
+        They are the last of the own zone by hash, this one included, that
+        were heard lately and have contact with the source.
+        """
+        horizon = clock.monotonic() - READER_SILENCE_SECONDS
+        keys = [
+            key
+            for key, held in self.peers.items()
+            if held.member.zone == self.own.zone
+            and held.heard >= horizon
+            and held.contact_age
+        ]
+        keys.append(digest.hash_name(self.own.name))
+        return sorted(keys)[-READERS:]
+
     def hosts_of_zone(self) -> list[str]:
         """Return the hosts of the other daemons of the own zone."""
         return [
--- a/sapphirepaddle/peers/pooling.py
+++ b/sapphirepaddle/peers/pooling.py
@@ -50,6 +50,7 @@
         uptake: Takes up what the others tell.
         is_leaving: Whether this daemon stops.
         read_contact_age: Returns the own age of contact with the source.
+        read_targets_mark: Returns the fingerprint of the own registrations.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.uptake = uptake.Uptake(known, limits, others)
         self.is_leaving = False
         self.read_contact_age: abc.Callable[[], int] = never_lost
+        self.read_targets_mark: abc.Callable[[], int] = nothing_known
 
     def note_start(self, held: candidate.Candidate) -> None:
         """Take in that a request was sent to a target.
@@ -106,6 +108,10 @@
         self.far.services[service] = None
         self.far.is_pressing = True
 
+    def note_news(self) -> None:
+        """Take in that the own zone waits for what this daemon has read."""
+        self.near.is_urgent = True
+
     async def run(self) -> None:
         """Send what changed, for good."""
         while True:
@@ -182,6 +188,7 @@
             is_leaving=self.is_leaving,
             version=self.directory.version,
             contact_age=self.read_contact_age(),
+            targets_mark=self.read_targets_mark(),
             targets=tuple(self.take_targets(changed.targets)),
             accounts=tuple(self.take_accounts(changed.accounts)),
             services=tuple(self.take_services(changed.services)),
@@ -269,6 +276,11 @@
             self.datagrams.send(final, hosts)
 
 
+def nothing_known() -> int:
+    """Return the fingerprint of no registrations."""
+    return 0
+
+
 def never_lost() -> int:
     """Return the age of a contact that never was lost."""
     return digest.LONG_AGO
--- a/sapphirepaddle/peers/uptake.py
+++ b/sapphirepaddle/peers/uptake.py
@@ -59,7 +59,11 @@
             self.newest_host = host
         if body.is_leaving:
             self.fleet.remove(body.sender, 'leaving')
-        self.fleet.note_heard(body.sender, body.contact_age)
+        self.fleet.note_heard(
+            body.sender,
+            body.contact_age,
+            body.targets_mark,
+        )
         known = self.heard.get(body.sender)
         if known is None or known.start != body.start:
             is_recent = self.is_recent(body.start)
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -42,7 +42,7 @@
         is_stale_allowed: bool,
     ) -> source.Reading:
         """Return all objects of a kind."""
-        query = {'allowStale': '1'} if is_stale_allowed else {}
+        query = stale_query(is_stale_allowed)
         entries: list[source.Entry] = []
         while True:
             path = object_path(kind, query=query)
@@ -58,9 +58,10 @@
         kind: str,
         revision: int,
         seconds: float,
+        is_stale_allowed: bool,
     ) -> source.Reading:
         """Wait for changes after a revision."""
-        query = {
+        query = stale_query(is_stale_allowed) | {
             'watch': str(revision),
             'waitMs': str(int(seconds * MILLISECONDS)),
         }
@@ -133,6 +134,11 @@
     return decoded
 
 
+def stale_query(is_stale_allowed: bool) -> dict[str, str]:
+    """Return the part of a query that allows an older answer."""
+    return {'allowStale': '1'} if is_stale_allowed else {}
+
+
 def object_path(
     kind: str,
     name: str = '',
--- a/sapphirepaddle/standins/object_store.py
+++ b/sapphirepaddle/standins/object_store.py
@@ -80,7 +80,7 @@
         """Return a part of a list, or the changes after a revision."""
         if 'watch' in query:
             return await self.watch(kind, query)
-        reading = await self.source.list_all(kind, is_stale_allowed=False)
+        reading = await self.source.list_all(kind, is_stale(query))
         after = query.get('after', '')
         listed = sorted(
             (entry for entry in reading.entries if entry.name > after),
@@ -104,6 +104,7 @@
                 kind,
                 int(query['watch']),
                 seconds,
+                is_stale(query),
             )
         except errors.HistoryLostError:
             return render(GONE, {})
@@ -137,6 +138,11 @@
         return answer.Answer(status, [], detail.encode())
 
 
+def is_stale(query: dict[str, str]) -> bool:
+    """Tell whether an older answer will do."""
+    return query.get('allowStale') == '1'
+
+
 def query_of(received: request.Request) -> dict[str, str]:
     """Return the query of a call."""
     query = received.target.partition(b'?')[2].decode()
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -87,10 +87,21 @@
         self.check()
         return await self.held.list_all(kind, is_stale_allowed)
 
-    async def watch(self, kind: str, revision: int, seconds: float):
+    async def watch(
+        self,
+        kind: str,
+        revision: int,
+        seconds: float,
+        is_stale_allowed: bool,
+    ):
         """Wait for changes after a revision."""
         self.check()
-        reading = await self.held.watch(kind, revision, min(seconds, 0.1))
+        reading = await self.held.watch(
+            kind,
+            revision,
+            min(seconds, 0.1),
+            is_stale_allowed,
+        )
         self.check()
         return reading
 
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -261,6 +261,18 @@
         'from sapphirepaddle.peers import uplink\n'
         'uplink.Uplink.check = lambda self, near, now: True',
     ),
+    Mutation(
+        'edge: daemons behind a reader read anew',
+        'edge.test_reading.TestReading.test_readers_are_followed',
+        'from sapphirepaddle.edge import reading\n'
+        'reading.Reading.late_behind = lambda self: []',
+    ),
+    Mutation(
+        'edge: lost readers are replaced',
+        'edge.test_reading.TestReading.test_lost_readers_are_replaced',
+        'from sapphirepaddle.peers import fleet\n'
+        'fleet.READER_SILENCE_SECONDS = 1e9',
+    ),
     Mutation(
         'edge: an overtaken digest adds nothing',
         'peers.test_uplink',
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -63,14 +63,16 @@
         revision = self.memory.revision
         await self.put('b', number=2)
         await self.source.delete('kind', 'a')
-        reading = await self.source.watch('kind', revision, 0.1)
+        reading = await self.source.watch('kind', revision, 0.1, False)
         self.assertEqual(
             reading.entries,
             [source.Entry('b', {'number': 2}), source.Entry('a', None)],
         )
 
     async def test_watch_without_changes(self) -> None:
-        reading = await self.source.watch('kind', self.memory.revision, 0.05)
+        reading = await self.source.watch(
+            'kind', self.memory.revision, 0.05, False
+        )
         self.assertEqual(reading.entries, [])
 
     async def test_refusals_are_errors(self) -> None:
@@ -82,12 +84,12 @@
         await self.put('a', number=1)
         self.memory.drop_history()
         with self.assertRaises(errors.HistoryLostError):
-            await self.source.watch('kind', 1, 0.1)
+            await self.source.watch('kind', 1, 0.1, False)
 
     async def test_silence_is_an_error(self) -> None:
         self.store.faults.is_silent = True
         with self.assertRaises(errors.SourceError):
-            await self.source.watch('kind', 8, 0)
+            await self.source.watch('kind', 8, 0, False)
 
     async def test_lost_answer_is_an_error_though_the_write_is_done(
         self,
