Let reads that may be late lag in the soak

Cause: daemons that are no readers now take answers that may be late; no fault of the soak let them lag.

Change: beside the drawn faults, reads that may be late see no change for up to 5 s, again and again, drawn apart so that older seeds keep their schedule. The source in memory keeps all changes and the revision from which watches still get them, so that late lists can be served.

--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -13,6 +13,7 @@
         revision: Rises with each change.
         objects: Contents by kind and name.
         changes: All changes with their revision and kind.
+        kept_from: Revision from which watches still get the changes.
         is_away: Whether calls fail.
         changed: Notified at each change.
         calls: Calls made so far.
@@ -25,6 +26,7 @@
         self.revision = 1
         self.objects: dict[str, dict[str, source.Content]] = {}
         self.changes: list[tuple[int, str, source.Entry]] = []
+        self.kept_from = 0
         self.is_away = False
         self.changed = asyncio.Condition()
         self.calls = 0
@@ -72,7 +74,7 @@
     ) -> source.Reading:
         """Wait for changes after a revision."""
         self.check(is_stale_allowed)
-        if self.changes and revision < self.changes[0][0] - 1:
+        if revision < self.kept_from:
             raise errors.HistoryLostError(kind)
         async with self.changed:
             try:
@@ -137,5 +139,4 @@
     def drop_history(self) -> None:
         """Forget the changes up to now."""
         self.revision += 2
-        entry = source.Entry('', None)
-        self.changes = [(self.revision, '', entry)]
+        self.kept_from = self.revision - 1
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -86,7 +86,8 @@
             for number in range(size.callers)
         ]
         cutting = plan.cut_datagrams(held, until)
-        await asyncio.gather(plan.run(held), cutting, *crowd)
+        lagging = plan.delay_reads(held, until)
+        await asyncio.gather(plan.run(held), cutting, lagging, *crowd)
     finally:
         await held.close()
     bounds = settings_file.read_bounds(list(world_settings.BOUNDS))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -27,6 +27,10 @@
 MOST_CUT_SECONDS = 6.0
 CUT_SEEDS = 1000
 """Distance of the seeds that draw cuts of datagrams from the others."""
+LATE_SEEDS = 2000
+"""The same for late reads of the store."""
+LATE_PAUSE_SECONDS = 4.0
+MOST_LATE_SECONDS = 5.0
 
 
 class Schedule:
@@ -35,6 +39,7 @@
     Attributes:
         entries: Seconds from the start, kind and length of each fault.
         cuts: Draws the cuts of datagrams, which come beside the others.
+        lags: Draws when reads of the store may be late, likewise.
     """
 
     def __init__(self, seed: int, seconds: float) -> None:
@@ -47,6 +52,7 @@
             self.entries.append((at, kind, chance.uniform(0.5, 5)))
             at += chance.expovariate(1 / 1.2)
         self.cuts = random.Random(seed * CUT_SEEDS + 1)
+        self.lags = random.Random(seed * LATE_SEEDS + 1)
 
     async def run(self, held: world.World) -> None:
         """Let the faults happen."""
@@ -69,6 +75,17 @@
             await asyncio.sleep(self.cuts.uniform(0.5, MOST_CUT_SECONDS))
             held.cuts.change(())
 
+    async def delay_reads(self, held: world.World, until: float) -> None:
+        """Let reads that may be late see no change, again and again."""
+        while True:
+            pause = self.lags.expovariate(1 / LATE_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
+            if time.monotonic() > until:
+                return
+            held.source.stale_revision = held.source.revision
+            await asyncio.sleep(self.lags.uniform(0.5, MOST_LATE_SECONDS))
+            held.source.stale_revision = None
+
     def kinds(self) -> dict[str, int]:
         """Return how often each kind comes."""
         return dict(collections.Counter(kind for _, kind, _ in self.entries))
