--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -250,6 +250,19 @@
         'from sapphirepaddle.routing import candidate\n'
         'candidate.Candidate.failure = lambda self, now: 0',
     ),
+    Mutation(
+        'edge: targets at rest get a request',
+        'peers.test_coverage.TestCoverage.test_sound_targets_are_used',
+        'from sapphirepaddle.routing import roster\n'
+        'roster.Roster.most_overdue = lambda self, given, now: None',
+    ),
+    Mutation(
+        'edge: an introduction is handed on in its zone',
+        'peers.test_greeting',
+        'from sapphirepaddle.peers import greeting, introduction\n'
+        'greeting.Greeting.receive = lambda self, hello: (\n'
+        '    self.fleet.add(introduction.read(hello)))',
+    ),
     Mutation(
         'edge: few targets are compared',
         'routing.test_roster.TestManyTargets',
