Watch for half a second only while the source is away

Cause: a watch that is issued while the store is silent is not answered after its return either.

Ruled out: late reads (all daemons of the zone are readers there, and their watches were fresh); cuts of datagrams (the other zones had the change).

Change: while the source is away a watch waits for 0.5 s. Contact that is back is noticed without a change, too.

--- a/sapphirepaddle/directory/follower.py
+++ b/sapphirepaddle/directory/follower.py
@@ -12,6 +12,9 @@
 
 WATCH_SECONDS: typing.Final = 20.0
 """Longest wait of one watch; each is a call that is paid for."""
+PROBE_SECONDS: typing.Final = 0.5
+"""The same while the source is away. A call that it swallowed is not answered
+after its return either, so that it must end soon."""
 GATHER_SECONDS: typing.Final = 0.6
 """Pause after a change, so that further ones come with the next call; well
 below the time in which changes must be in force."""
@@ -118,6 +121,7 @@
     async def wait(self) -> source.Reading | None:
         """Wait for changes; None if a fresh call is wanted instead."""
         is_fresh = self.is_behind or self.is_reader()
+        is_lost = self.lost_at is not None
         patience = asyncio.timeout(None)
         self.patience = patience
         try:
@@ -125,7 +129,7 @@
                 reading = await self.source.watch(
                     self.kind,
                     self.revision,
-                    WATCH_SECONDS,
+                    PROBE_SECONDS if is_lost else WATCH_SECONDS,
                     is_stale_allowed=not is_fresh,
                 )
         except TimeoutError:
--- a/tests/directory/test_follower.py
+++ b/tests/directory/test_follower.py
@@ -74,6 +74,26 @@
         self.source.is_away = False
         await self.until(2)
 
+    async def test_contact_is_noticed_without_a_change(self) -> None:
+        self.source.stale_revision = None
+        self.source.is_away = True
+        await self.change(2)
+        await self.until_contact(is_lost=True)
+        self.source.is_away = False
+        await self.until(2)
+        self.source.is_away = True
+        await self.change(2)
+        await self.until_contact(is_lost=True)
+        self.follower.revision = self.source.revision
+        self.source.is_away = False
+        await self.until_contact(is_lost=False)
+
+    async def until_contact(self, *, is_lost: bool) -> None:
+        """Wait until the contact with the source is lost, or back."""
+        async with asyncio.timeout(10):
+            while (self.follower.lost_at is not None) != is_lost:
+                await asyncio.sleep(0.01)
+
     async def test_a_reader_makes_fresh_calls(self) -> None:
         self.is_reader = True
         self.follower.refresh()
