Count attempts that still connect against what the route allows

Cause: attempts counted from the moment at which the request was sent.

Ruled out: the repeat budget (it counts arrivals of the fleet) and excluded targets (each got the request once).

Change: an attempt counts from its start until it ends without having sent.

Before and after: tests.proxy.test_sender sent to 3 of 2 targets, sends to 2.

--- a/sapphirepaddle/proxy/job.py
+++ b/sapphirepaddle/proxy/job.py
@@ -23,6 +23,7 @@
         end: When the caller gets its final answer at the latest.
         sent_to: Targets that it was sent to or could not reach.
         sends: How often it was sent.
+        connecting: Attempts that have not sent it yet, and may.
         may_have_run: Whether a target may have run it.
         failed: A target's own failure, passed on if nothing is better.
     """
@@ -37,6 +38,7 @@
     end: float
     sent_to: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
+    connecting: int = 0
     may_have_run: bool = False
     failed: message.Received | None = None
 
@@ -45,6 +47,11 @@
         """Return the seconds until the final answer is due."""
         return self.end - clock.monotonic()
 
+    @property
+    def is_last_attempt(self) -> bool:
+        """Tell whether its attempts use up what the route allows."""
+        return self.sends + self.connecting >= self.route.attempts
+
     @property
     def account_name(self) -> str:
         """Return the name of the client account; empty for none."""
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -82,7 +82,7 @@
             wanted: The request.
             running: Filled with the attempts that run.
         """
-        running.add(asyncio.create_task(self.attempt(wanted)))
+        running.add(self.start(wanted))
         while running:
             done, _ = await asyncio.wait(
                 running,
@@ -96,7 +96,7 @@
                 if seen.fate is Fate.ANSWERED and seen.received is not None:
                     return seen.received
             if self.may_repeat(wanted, is_hedge=bool(running)):
-                running.add(asyncio.create_task(self.attempt(wanted)))
+                running.add(self.start(wanted))
             elif not done:
                 await asyncio.wait(running)
         return conclude(wanted)
@@ -109,7 +109,7 @@
         """Return the wait for an attempt before another is started."""
         if not wanted.route.is_idempotent or len(running) > 1:
             return None
-        if wanted.sends >= wanted.route.attempts:
+        if wanted.is_last_attempt:
             return None
         return max(
             wanted.roster.usual * HEDGE_USUAL,
@@ -124,7 +124,7 @@
             legal = True
         if not legal or wanted.left <= 0:
             return False
-        if wanted.sends >= wanted.route.attempts:
+        if wanted.is_last_attempt:
             return False
         if not wanted.roster.has_other(wanted.sent_to):
             return False
@@ -140,8 +140,26 @@
         )
         return allowed
 
+    def start(self, wanted: job.Job) -> asyncio.Task[outcome.Outcome]:
+        """Start an attempt, which counts from now on."""
+        wanted.connecting += 1
+        return asyncio.create_task(self.attempt(wanted))
+
     async def attempt(self, wanted: job.Job) -> outcome.Outcome:
         """Choose a target that can be reached and send the request there."""
+        try:
+            reached = await self.reach(wanted)
+        finally:
+            wanted.connecting -= 1
+        if isinstance(reached, outcome.Outcome):
+            return reached
+        return await self.send(wanted, *reached)
+
+    async def reach(
+        self,
+        wanted: job.Job,
+    ) -> tuple[candidate.Candidate, typing.Any] | outcome.Outcome:
+        """Return a target and a connection, or why there is none."""
         while wanted.left > 0:
             now = clock.monotonic()
             chosen = wanted.roster.choose(
@@ -158,7 +176,7 @@
             except errors.TargetError as error:
                 self.note_unreachable(wanted, chosen, error)
                 continue
-            return await self.send(wanted, chosen, used)
+            return chosen, used
         return outcome.Outcome(Fate.NOT_RUN, 'time is over')
 
     async def send(
--- /dev/null
+++ b/tests/proxy/test_sender.py
@@ -0,0 +1,105 @@
+"""Attempts of one request at several targets."""
+
+import asyncio
+import random
+import typing
+import unittest
+
+from sapphirepaddle import clock
+from sapphirepaddle.directory import route
+from sapphirepaddle.proxy import job, outcome, request, sender
+from sapphirepaddle.routing import candidate, preference, roster
+from sapphirepaddle.telemetry import counters, decisions
+from tests.routing import test_roster
+
+OBJECTIVE = 0.02
+"""Objective of the route in seconds: a silent target soon gets company."""
+
+
+class SlowAttempts:
+    """Attempts whose connections take their time, and that all fail.
+
+    Attributes:
+        waits: Seconds until each connection is open, in order.
+        sent: Targets that got the request.
+    """
+
+    def __init__(self, waits: list[float]) -> None:
+        """Start without attempts."""
+        self.waits = waits
+        self.sent: list[str] = []
+
+    async def connect(self, _wanted: job.Job, _chosen: object) -> None:
+        """Open a connection."""
+        await asyncio.sleep(self.waits.pop(0))
+
+    async def send(
+        self,
+        _wanted: job.Job,
+        chosen: candidate.Candidate,
+        _used: object,
+    ) -> outcome.Outcome:
+        """Fail a request at once."""
+        self.sent.append(chosen.registration.name)
+        return outcome.Outcome(outcome.Fate.LOST, 'broken')
+
+
+class TestAttempts(unittest.IsolatedAsyncioTestCase):
+    """A route that allows two targets for a request."""
+
+    def wanted(self) -> job.Job:
+        """Return a request."""
+        held = roster.Roster('a', random.Random(1))
+        for number in range(4):
+            entry = test_roster.registered(f't-{number}')
+            held.update(entry, clock.monotonic())
+        return job.Job(
+            identifier='r1',
+            request=request.Request(
+                method=b'GET',
+                target=b'/x',
+                headers=[],
+                host='host',
+                body=b'',
+                has_body=False,
+                received=clock.monotonic(),
+            ),
+            route=route.Route(
+                name='reads',
+                host='host',
+                prefix='/',
+                parts=(route.Part('reads', 1),),
+                is_idempotent=True,
+                timeout=2,
+                objective=OBJECTIVE,
+                priority=1,
+                attempts=2,
+                is_open=True,
+            ),
+            account=None,
+            service='reads',
+            roster=held,
+            preference=preference.Preference(objective=OBJECTIVE, failure=1),
+            end=clock.monotonic() + 2,
+        )
+
+    async def run_with(self, waits: list[float]) -> list[str]:
+        """Return the targets that got a request."""
+        attempts = SlowAttempts(waits)
+        sending = sender.Sender(
+            typing.cast(typing.Any, attempts),
+            lambda _service: True,
+            lambda _chosen: None,
+            lambda _chosen, _is_bad: None,
+            decisions.DecisionLog(counters.Counters()),
+        )
+        with self.assertRaises(sender.errors.RefusedError):
+            await sending.run(self.wanted())
+        return attempts.sent
+
+    async def test_both_are_used(self) -> None:
+        self.assertEqual(len(await self.run_with([0, 0, 0])), 2)
+
+    async def test_one_that_still_connects_counts(self) -> None:
+        sent = await self.run_with([0.1, 0.4, 0, 0])
+        self.assertEqual(len(sent), 2)
