Log and count the evidence on which removals are deferred

At each recovery 'outage ended' has the number of peers, how many are without contact and the shortest contact; 'target removal deferred' has the target and the time left; the gauge removals_deferred counts them. No decision changes.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -36,6 +36,10 @@
     return True
 
 
+def ignore_recovery() -> None:
+    """Do nothing: by default nothing depends on a recovery."""
+
+
 class ObjectWatcher:
     """Keeps the objects of one kind up to date.
 
@@ -57,6 +61,7 @@
         available: Event that is set while the source answers.
         outage_prober: Another watcher of the same source that alone probes it
             during an outage; None to probe it here.
+        on_recovered: Called when the source answers again after an outage.
         has_listed: Whether a full list was read.
         is_reader: Returns whether this daemon is a reader.
         needs_fresh_call: Whether the next call must be fresh.
@@ -84,6 +89,7 @@
         self.available = asyncio.Event()
         self.outage_prober: ObjectWatcher | None = None
         self.is_reader: abc.Callable[[], bool] = always_reader
+        self.on_recovered: abc.Callable[[], None] = ignore_recovery
         self.has_listed = False
         self.needs_fresh_call = False
         self.watch_timeout: asyncio.Timeout | None = None
@@ -187,6 +193,7 @@
                 'source recovered',
                 away=round(self.recovered_at - self.unavailable_since, 2),
             )
+            self.on_recovered()
         self.unavailable_since = None
         self.consecutive_failures = 0
         self.available.set()
--- a/sapphirepaddle/directory/target_list.py
+++ b/sapphirepaddle/directory/target_list.py
@@ -35,8 +35,9 @@
             recovered, or None if removals need no grace period.
         pending_removals: Monotonic time of removal by target name, for
             targets whose entries are gone.
+        deferred_count: Number of removals deferred since the start.
         fingerprint: Hash of the listed registrations.
-        logger: Logger for malformed entries.
+        logger: Logger for malformed entries and deferred removals.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.decode = decode
         self.read_recovered_at = read_recovered_at
         self.pending_removals: dict[str, float] = {}
+        self.deferred_count = 0
         self.fingerprint = fingerprint.Fingerprint()
         self.logger = logs.get_logger('targets')
 
@@ -103,6 +105,15 @@
         ):
             self.directory.remove_target(name, 'entry removed')
             return
+        if name not in self.pending_removals:
+            self.deferred_count += 1
+            self.logger.info(
+                'target removal deferred',
+                target=name,
+                seconds=round(
+                    recovered_at + REREGISTRATION_GRACE_SECONDS - now, 2
+                ),
+            )
         self.pending_removals[name] = (
             recovered_at + REREGISTRATION_GRACE_SECONDS
         )
--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -157,6 +157,7 @@
         return {
             'configuration_version': self.directory.version,
             'targets': len(self.directory.service_by_target),
+            'removals_deferred': (self.synchronizer.target_list.deferred_count),
             'members': self.fleet.size,
             'share_in_touch': self.fleet.in_touch_ratio(),
             'requests_served_now': self.forwarder.active_requests,
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -74,6 +74,7 @@
             self.apply_target_changes,
         )
         self.configuration_watcher.outage_prober = self.target_watcher
+        self.target_watcher.on_recovered = self.log_outage
         exchange.read_contact_age = self.contact_age_tenths
         self.target_list = target_list.TargetList(
             target_directory,
@@ -105,6 +106,18 @@
             return None
         return self.target_watcher.recovered_at
 
+    def log_outage(self) -> None:
+        """Log what peers report of the outage that has ended here."""
+        peer_fleet = self.count_exchange.fleet
+        ages = peer_fleet.recent_contact_ages()
+        self.logger.info(
+            'outage ended',
+            is_shared=peer_fleet.is_outage_shared(),
+            peers=len(ages),
+            peers_away=ages.count(0),
+            shortest_contact=min(ages, default=None),
+        )
+
     def contact_age_tenths(self) -> int:
         """Return the tenths of a second since the source recovered.
 
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -184,14 +184,18 @@
         result is false, only this daemon lost contact with the source. An
         outage counts as shared while no peer is reachable.
         """
+        ages = self.recent_contact_ages()
+        lost_count = sum(age < MAX_SHARED_OUTAGE_AGE_TENTHS for age in ages)
+        return lost_count * 2 >= len(ages)
+
+    def recent_contact_ages(self) -> list[int]:
+        """Return the contact ages, in tenths, of peers heard recently."""
         horizon = clock.monotonic() - ISOLATION_TIMEOUT_SECONDS
-        ages = [
+        return [
             peer.contact_age
             for peer in self.peers.values()
             if peer.last_received_at >= horizon
         ]
-        lost_count = sum(age < MAX_SHARED_OUTAGE_AGE_TENTHS for age in ages)
-        return lost_count * 2 >= len(ages)
 
     def reader_hashes(self) -> list[int]:
         """Return the hashes of the daemons that read the source.
