Date the return of the store by the reports of all daemons

Cause: a target whose entry is gone is kept for 2.3 s after an outage of the store, as its entry may have lapsed. Whether there was an outage, and when it ended, was judged by the daemon's own clock and by peers that regained contact in the last 10 s. Each of the 13 then waited 2.3 s from its own recovery, up to 1.2 s after the end of the partition, and was over the 3 s after which it is bound again.

Change: daemons report since when they have had contact, counted from the first answer and not as unlimited after a start, and the age of the store's last answer (16 bits that were padding). The return of the store is the first answer that any daemon is known to have received since this one lost contact, unless it lost contact after that; the grace period ends 2.3 s later. If most of the peers had contact all the while there is none, as before. Pending removals are checked every 0.2 s, as reports may date the return earlier.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -36,8 +36,8 @@
     return True
 
 
-def ignore_recovery() -> None:
-    """Do nothing: by default nothing depends on a recovery."""
+def ignore_contact_change() -> None:
+    """Do nothing: by default nothing depends on the contact."""
 
 
 class ObjectWatcher:
@@ -56,11 +56,13 @@
         consecutive_failures: Number of failed calls since the last success.
         unavailable_since: Monotonic time of the first failed call of an
             outage; None while the source answers.
-        recovered_at: Monotonic time of the last recovery; None before the
-            first one.
+        contact_since: Monotonic time of the first answer since the last
+            outage; None before the first answer.
+        answered_at: Monotonic time of its last answer; None before the first.
         available: Event that is set while the source answers.
         outage_prober: Another watcher of the same source that alone probes it
             during an outage; None to probe it here.
+        on_lost: Called when the source stops answering.
         on_recovered: Called when the source answers again after an outage.
         has_listed: Whether a full list was read.
         is_reader: Returns whether this daemon is a reader.
@@ -85,11 +87,13 @@
         self.revision = 0
         self.consecutive_failures = 0
         self.unavailable_since: float | None = None
-        self.recovered_at: float | None = None
+        self.contact_since: float | None = None
+        self.answered_at: float | None = None
         self.available = asyncio.Event()
         self.outage_prober: ObjectWatcher | None = None
         self.is_reader: abc.Callable[[], bool] = always_reader
-        self.on_recovered: abc.Callable[[], None] = ignore_recovery
+        self.on_lost: abc.Callable[[], None] = ignore_contact_change
+        self.on_recovered: abc.Callable[[], None] = ignore_contact_change
         self.has_listed = False
         self.needs_fresh_call = False
         self.watch_timeout: asyncio.Timeout | None = None
@@ -187,11 +191,14 @@
 
     def handle_success(self) -> None:
         """Record that the source answered."""
+        now = clock.monotonic()
+        self.answered_at = now
+        if self.contact_since is None or self.unavailable_since is not None:
+            self.contact_since = now
         if self.unavailable_since is not None:
-            self.recovered_at = clock.monotonic()
             self.logger.info(
                 'source recovered',
-                away=round(self.recovered_at - self.unavailable_since, 2),
+                away=round(now - self.unavailable_since, 2),
             )
             self.on_recovered()
         self.unavailable_since = None
@@ -213,6 +220,7 @@
                 reason=error.detail,
                 revision=self.revision,
             )
+            self.on_lost()
         self.consecutive_failures += 1
         pause_seconds = min(
             MAX_RETRY_SECONDS, RETRY_STEP_SECONDS * self.consecutive_failures
--- a/sapphirepaddle/directory/target_list.py
+++ b/sapphirepaddle/directory/target_list.py
@@ -17,6 +17,10 @@
 """Time that targets have to register again after the source has recovered, if
 their entries expired during the outage; operators promise about two seconds."""
 
+PENDING_CHECK_SECONDS: typing.Final = 0.2
+"""Interval between checks whether the grace period is over: peers may report an
+earlier return of the source meanwhile."""
+
 TargetDecoder = abc.Callable[[str, source.Content], registration.Registration]
 
 
@@ -31,10 +35,12 @@
         directory: Directory whose targets are updated.
         decode: Decodes an entry; raises ValueError for one that describes no
             target.
-        read_recovered_at: Returns the monotonic time at which the source
-            recovered, or None if removals need no grace period.
-        pending_removals: Monotonic time of removal by target name, for
-            targets whose entries are gone.
+        read_returned_at: Returns the monotonic time at which the source
+            returned from an outage; -inf if there was none, inf while it is
+            away.
+        pending_removals: Names of the targets whose entries are gone and may
+            return.
+        pending_check: Timer of the next check; None if nothing is pending.
         deferred_count: Number of removals deferred since the start.
         fingerprint: Hash of the listed registrations.
         logger: Logger for malformed entries and deferred removals.
@@ -44,13 +50,14 @@
         self,
         target_directory: directory.Directory,
         decode: TargetDecoder,
-        read_recovered_at: abc.Callable[[], float | None],
+        read_returned_at: abc.Callable[[], float],
     ) -> None:
         """Initialize without targets."""
         self.directory = target_directory
         self.decode = decode
-        self.read_recovered_at = read_recovered_at
-        self.pending_removals: dict[str, float] = {}
+        self.read_returned_at = read_returned_at
+        self.pending_removals: set[str] = set()
+        self.pending_check: asyncio.TimerHandle | None = None
         self.deferred_count = 0
         self.fingerprint = fingerprint.Fingerprint()
         self.logger = logs.get_logger('targets')
@@ -87,22 +94,18 @@
             self.directory.remove_target(name, 'malformed entry')
             return
         self.fingerprint.update(target_registration)
-        self.pending_removals.pop(name, None)
+        self.pending_removals.discard(name)
         self.directory.update_target(target_registration)
 
     def remove_or_defer(self, name: str) -> None:
         """Remove a target whose entry is gone.
 
-        Within the grace period after a recovery, the removal is deferred to
+        Within the grace period after an outage, the removal is deferred to
         its end.
         """
         self.fingerprint.remove(name)
-        recovered_at = self.read_recovered_at()
-        now = clock.monotonic()
-        if (
-            recovered_at is None
-            or now - recovered_at > REREGISTRATION_GRACE_SECONDS
-        ):
+        grace_seconds = self.remaining_grace_seconds()
+        if grace_seconds <= 0:
             self.directory.remove_target(name, 'entry removed')
             return
         if name not in self.pending_removals:
@@ -110,28 +113,36 @@
             self.logger.info(
                 'target removal deferred',
                 target=name,
-                seconds=round(
-                    recovered_at + REREGISTRATION_GRACE_SECONDS - now, 2
-                ),
+                seconds=round(grace_seconds, 2),
+            )
+        self.pending_removals.add(name)
+        self.schedule_check()
+
+    def remaining_grace_seconds(self) -> float:
+        """Return the seconds until missing entries count as gone for good."""
+        grace_ends_at = self.read_returned_at() + REREGISTRATION_GRACE_SECONDS
+        return grace_ends_at - clock.monotonic()
+
+    def schedule_check(self) -> None:
+        """Schedule a check of the pending removals unless one is."""
+        if self.pending_check is None:
+            self.pending_check = asyncio.get_running_loop().call_later(
+                PENDING_CHECK_SECONDS, self.check_pending
             )
-        self.pending_removals[name] = (
-            recovered_at + REREGISTRATION_GRACE_SECONDS
-        )
-        asyncio.get_running_loop().call_later(
-            recovered_at + REREGISTRATION_GRACE_SECONDS - now,
-            self.remove_expired,
-        )
+
+    def check_pending(self) -> None:
+        """Check the pending removals, and again later while any is left."""
+        self.pending_check = None
+        self.remove_expired()
+        if self.pending_removals:
+            self.schedule_check()
 
     def remove_expired(self) -> None:
         """Remove the targets that did not register again in time."""
-        now = clock.monotonic()
-        expired_names = [
-            name
-            for name, removal_at in self.pending_removals.items()
-            if removal_at <= now
-        ]
-        for name in expired_names:
-            self.pending_removals.pop(name)
+        if self.remaining_grace_seconds() > 0:
+            return
+        for name in self.pending_removals:
             self.directory.remove_target(
                 name, 'not registered again after an outage'
             )
+        self.pending_removals.clear()
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -1,6 +1,7 @@
 """Keeps configuration and targets up to date, from the source or from peers."""
 
 import asyncio
+import math
 import random
 import typing
 
@@ -15,14 +16,19 @@
     target_list,
 )
 from sapphirepaddle.edge import reader_role, snapshot_exchange
-from sapphirepaddle.peers import count_exchange, digest, introduction
+from sapphirepaddle.peers import (
+    contact,
+    count_exchange,
+    digest,
+    introduction,
+)
 from sapphirepaddle.settings import edge
 from sapphirepaddle.telemetry import logs
 
 CHECK_INTERVAL_SECONDS: typing.Final = 0.25
 """Interval between checks for missing or outdated state."""
-TENTHS_PER_SECOND: typing.Final = 10
-"""Ages of the last contact are sent in tenths of a second."""
+MAX_LOGGED_SECONDS: typing.Final = 999.0
+"""Maximum age that is logged; it stands for an outage that was only local."""
 MAX_LAG_SECONDS: typing.Final = 0.7
 """Time for which peers may have a newer configuration before it is read without
 waiting for the watch: slightly longer than the interval in which watches batch
@@ -74,12 +80,14 @@
             self.apply_target_changes,
         )
         self.configuration_watcher.outage_prober = self.target_watcher
-        self.target_watcher.on_recovered = self.log_outage
-        exchange.read_contact_age = self.contact_age_tenths
+        outage_evidence = exchange.fleet.outage_evidence
+        self.target_watcher.on_lost = outage_evidence.record_loss
+        self.target_watcher.on_recovered = self.handle_recovery
+        exchange.read_contact_ages = self.contact_ages
         self.target_list = target_list.TargetList(
             target_directory,
             platform.decode_target,
-            self.source_recovered_at,
+            outage_evidence.source_returned_at,
         )
         exchange.read_targets_fingerprint = self.targets_fingerprint
         self.reader_role = reader_role.ReaderRole(
@@ -96,42 +104,40 @@
         self.behind_since: float | None = None
         self.logger = logs.get_logger('knowledge')
 
-    def source_recovered_at(self) -> float | None:
-        """Return when the source answered again after an outage, or None.
-
-        None also if other daemons had contact all the while: then this
-        daemon alone was disconnected, and no entry expired because of that.
-        """
-        if not self.count_exchange.fleet.is_outage_shared():
-            return None
-        return self.target_watcher.recovered_at
-
-    def log_outage(self) -> None:
-        """Log what peers report of the outage that has ended here."""
-        peer_fleet = self.count_exchange.fleet
-        ages = peer_fleet.recent_contact_ages()
+    def handle_recovery(self) -> None:
+        """Record that the source answers again, and log what peers report."""
+        outage_evidence = self.count_exchange.fleet.outage_evidence
+        outage_evidence.record_recovery()
+        returned_at = outage_evidence.source_returned_at()
         self.logger.info(
             'outage ended',
-            is_shared=peer_fleet.is_outage_shared(),
-            peers=len(ages),
-            peers_away=ages.count(0),
-            shortest_contact=min(ages, default=None),
+            is_local=outage_evidence.is_local(),
+            peers_answered=len(outage_evidence.first_answers),
+            returned=round(
+                min(clock.monotonic() - returned_at, MAX_LOGGED_SECONDS), 2
+            ),
         )
 
-    def contact_age_tenths(self) -> int:
-        """Return the tenths of a second since the source recovered.
-
-        The value is 0 during an outage and at most MAX_CONTACT_AGE_TENTHS,
-        which also stands for a contact that was never lost.
-        """
-        if self.target_watcher.unavailable_since is not None:
-            return 0
-        if self.target_watcher.recovered_at is None:
-            return digest.MAX_CONTACT_AGE_TENTHS
-        age = (
-            clock.monotonic() - self.target_watcher.recovered_at
-        ) * TENTHS_PER_SECOND
-        return min(int(age), digest.MAX_CONTACT_AGE_TENTHS)
+    def contact_ages(self) -> tuple[int, int]:
+        """Return the ages of the contact, in the form that digests have."""
+        watcher = self.target_watcher
+        if (
+            watcher.unavailable_since is not None
+            or watcher.contact_since is None
+            or watcher.answered_at is None
+        ):
+            return 0, digest.MAX_AGE_TENTHS
+        now = clock.monotonic()
+        contact_age = int(
+            (now - watcher.contact_since) * contact.TENTHS_PER_SECOND
+        )
+        answer_age = math.ceil(
+            (now - watcher.answered_at) * contact.TENTHS_PER_SECOND
+        )
+        return (
+            min(max(contact_age, 1), digest.MAX_AGE_TENTHS),
+            min(answer_age, digest.MAX_AGE_TENTHS),
+        )
 
     def targets_fingerprint(self) -> int:
         """Return the fingerprint of the registrations of this daemon."""
--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -51,8 +51,8 @@
         introduction_exchange: Introduces this daemon to others.
         digest_receiver: Applies the digests of other daemons.
         is_leaving: Whether this daemon is shutting down.
-        read_contact_age: Returns the age of the contact with the source, in
-            tenths of a second, as `digest.Digest.contact_age` has it.
+        read_contact_ages: Returns the ages of the contact with the source and
+            of its last answer, as `digest.Digest` has them.
         read_targets_fingerprint: Returns the fingerprint of the
             registrations that this daemon knows.
     """
@@ -81,7 +81,9 @@
             target_directory, quotas, peer_fleet
         )
         self.is_leaving = False
-        self.read_contact_age: abc.Callable[[], int] = never_lost_age
+        self.read_contact_ages: abc.Callable[[], tuple[int, int]] = (
+            longest_contact_ages
+        )
         self.read_targets_fingerprint: abc.Callable[[], int] = empty_fingerprint
 
     def record_send_start(self, target: candidate.Candidate) -> None:
@@ -227,6 +229,7 @@
             is_forwarded: Whether the receiver forwards the digest within its
                 zone.
         """
+        contact_age, answer_age = self.read_contact_ages()
         return digest.Digest(
             sender=digest.hash_name(self.fleet.local_member.name),
             start=self.fleet.local_member.incarnation
@@ -234,7 +237,8 @@
             is_forwarded=is_forwarded,
             is_leaving=self.is_leaving,
             version=self.directory.version,
-            contact_age=self.read_contact_age(),
+            contact_age=contact_age,
+            answer_age=answer_age,
             targets_mark=self.read_targets_fingerprint(),
             targets=tuple(self.drain_target_counts(changes.targets)),
             accounts=tuple(self.drain_account_counts(changes.accounts)),
@@ -320,6 +324,6 @@
     return 0
 
 
-def never_lost_age() -> int:
-    """Return the contact age that means the contact was never lost."""
-    return digest.MAX_CONTACT_AGE_TENTHS
+def longest_contact_ages() -> tuple[int, int]:
+    """Return the ages of a contact that is long and was answered long ago."""
+    return digest.MAX_AGE_TENTHS, digest.MAX_AGE_TENTHS
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -32,6 +32,7 @@
   services @7 :List(ServiceCount);
   contactAge @8 :UInt16;
   targetsMark @9 :UInt32;
+  answerAge @10 :UInt16;
 }
 
 struct Hello {
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -5,9 +5,8 @@
 
 import xxhash
 
-MAX_CONTACT_AGE_TENTHS: typing.Final = 65535
-"""Maximum contact age, the 16-bit maximum; it also stands for a daemon that
-never lost contact with the source."""
+MAX_AGE_TENTHS: typing.Final = 65535
+"""Maximum of an age in a digest, in tenths of a second: the 16-bit maximum."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,9 +64,10 @@
         is_forwarded: Whether the receiver forwards it within its zone.
         is_leaving: Whether the daemon is shutting down.
         version: Configuration version that the daemon has in force.
-        contact_age: Tenths of a second since the daemon regained contact
-            with the source; 0 while the contact is lost; at most
-            MAX_CONTACT_AGE_TENTHS, also if it was never lost.
+        contact_age: Tenths of a second since when the daemon has had contact
+            with the source, from 1 to MAX_AGE_TENTHS; 0 while it has none.
+        answer_age: Tenths of a second since the source last answered it,
+            rounded up; at most MAX_AGE_TENTHS.
         targets_mark: Fingerprint of the registrations that the daemon
             knows; 0 for none.
         targets: Counts by target.
@@ -80,7 +80,8 @@
     is_forwarded: bool = False
     is_leaving: bool = False
     version: int = 0
-    contact_age: int = MAX_CONTACT_AGE_TENTHS
+    contact_age: int = MAX_AGE_TENTHS
+    answer_age: int = MAX_AGE_TENTHS
     targets_mark: int = 0
     targets: tuple[TargetCount, ...] = ()
     accounts: tuple[AccountCount, ...] = ()
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -83,6 +83,7 @@
         is_leaving=reader.isLeaving,
         version=reader.version,
         contact_age=reader.contactAge,
+        answer_age=reader.answerAge,
         targets_mark=reader.targetsMark,
         targets=tuple(
             digest.TargetCount(
--- a/sapphirepaddle/peers/digest_receiver.py
+++ b/sapphirepaddle/peers/digest_receiver.py
@@ -64,6 +64,7 @@
         self.fleet.record_message(
             body.sender,
             body.contact_age,
+            body.answer_age,
             body.targets_mark,
         )
         totals = self.peer_totals.get(body.sender)
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -1,12 +1,18 @@
 """The edge daemons of the fleet as known to one of them."""
 
+import math
 import random
 import typing
 from collections import abc
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import member
-from sapphirepaddle.peers import digest, hub_selector
+from sapphirepaddle.peers import (
+    contact,
+    digest,
+    hub_selector,
+    outage_evidence,
+)
 from sapphirepaddle.telemetry import logs
 
 IN_TOUCH_TIMEOUT_SECONDS: typing.Final = 4.0
@@ -15,9 +21,6 @@
 ISOLATION_TIMEOUT_SECONDS: typing.Final = 1.5
 """Silence of all daemons after which this one counts as isolated; each peer
 in its zone reports every second."""
-MAX_SHARED_OUTAGE_AGE_TENTHS: typing.Final = 100
-"""Contacts with the source regained more recently than this many tenths of a
-second were lost in the same outage."""
 READERS_PER_ZONE: typing.Final = 2
 """Daemons in a zone that read the source on behalf of the others."""
 MAX_READER_SILENCE_SECONDS: typing.Final = 1.3
@@ -33,8 +36,7 @@
     Attributes:
         member: The member as it introduced itself.
         last_received_at: Monotonic time of its last message.
-        contact_age: Tenths of a second since it regained contact with the
-            source; see `digest.Digest`.
+        contact: Its contact with the source.
         targets_fingerprint: Fingerprint of the registrations it knows.
     """
 
@@ -42,7 +44,9 @@
         """Initialize a daemon whose introduction arrived at `now`."""
         self.member = fleet_member
         self.last_received_at = now
-        self.contact_age = digest.MAX_CONTACT_AGE_TENTHS
+        self.contact = contact.Contact(
+            reported_at=-math.inf, since=now, answered_at=-math.inf
+        )
         self.targets_fingerprint = 0
 
 
@@ -57,6 +61,7 @@
             elapsed_fleet_time().
         local_time_counted_at: Monotonic time up to which this daemon's own
             part is included in it.
+        outage_evidence: Evidence from the peers' contacts with the source.
         rng: Random number generator for the choice of peers.
         logger: Logs daemons that join and leave.
     """
@@ -68,6 +73,9 @@
         self.last_received_at = clock.monotonic()
         self.elapsed_fleet_seconds: float = 0
         self.local_time_counted_at = self.last_received_at
+        self.outage_evidence = outage_evidence.OutageEvidence(
+            self.peer_contacts
+        )
         self.rng = random.Random()
         self.logger = logs.get_logger('fleet')
 
@@ -110,7 +118,8 @@
     def record_message(
         self,
         name_hash: int,
-        contact_age: int = digest.MAX_CONTACT_AGE_TENTHS,
+        contact_age: int = digest.MAX_AGE_TENTHS,
+        answer_age: int = digest.MAX_AGE_TENTHS,
         targets_fingerprint: int = 0,
     ) -> None:
         """Record that a message of a daemon was received.
@@ -119,6 +128,7 @@
             name_hash: Hash of the daemon's name.
             contact_age: Age of its contact with the source; see
                 `digest.Digest`.
+            answer_age: Age of the source's last answer to it.
             targets_fingerprint: Fingerprint of the registrations it knows.
         """
         self.last_received_at = clock.monotonic()
@@ -128,7 +138,10 @@
             if silence <= IN_TOUCH_TIMEOUT_SECONDS:
                 self.elapsed_fleet_seconds += silence / self.size
             peer.last_received_at = self.last_received_at
-            peer.contact_age = contact_age
+            peer.contact = contact.from_ages(
+                self.last_received_at, contact_age, answer_age
+            )
+            self.outage_evidence.record_report(name_hash, peer.contact)
             peer.targets_fingerprint = targets_fingerprint
 
     def remove_silent(self) -> None:
@@ -177,26 +190,6 @@
         )
         return (recent_count + 1) / self.size
 
-    def is_outage_shared(self) -> bool:
-        """Return whether at least half of the peers recently lost the source.
-
-        Only peers heard from within ISOLATION_TIMEOUT_SECONDS count. If the
-        result is false, only this daemon lost contact with the source. An
-        outage counts as shared while no peer is reachable.
-        """
-        ages = self.recent_contact_ages()
-        lost_count = sum(age < MAX_SHARED_OUTAGE_AGE_TENTHS for age in ages)
-        return lost_count * 2 >= len(ages)
-
-    def recent_contact_ages(self) -> list[int]:
-        """Return the contact ages, in tenths, of peers heard recently."""
-        horizon = clock.monotonic() - ISOLATION_TIMEOUT_SECONDS
-        return [
-            peer.contact_age
-            for peer in self.peers.values()
-            if peer.last_received_at >= horizon
-        ]
-
     def reader_hashes(self) -> list[int]:
         """Return the hashes of the daemons that read the source.
 
@@ -210,11 +203,15 @@
             for name_hash, peer in self.peers.items()
             if peer.member.zone == self.local_member.zone
             and peer.last_received_at >= horizon
-            and peer.contact_age
+            and peer.contact.since is not None
         ]
         hashes.append(digest.hash_name(self.local_member.name))
         return sorted(hashes)[-READERS_PER_ZONE:]
 
+    def peer_contacts(self) -> abc.Iterator[contact.Contact]:
+        """Iterate over the contacts of the peers with the source."""
+        return (peer.contact for peer in self.peers.values())
+
     def same_zone_hosts(self) -> list[str]:
         """Return the hosts of the other daemons in the same zone."""
         return [
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -1,10 +1,13 @@
 """Tests of targets whose entries are added, changed and removed."""
 
+import asyncio
+import math
 import unittest
 from unittest import mock
 
 from sapphirepaddle import errors
 from sapphirepaddle.directory import directory, source, target_list
+from sapphirepaddle.edge import daemon
 from sapphirepaddle.platform import registrations
 from sapphirepaddle.settings import edge
 from tests.support import edge_daemon_case, platform_objects
@@ -28,12 +31,12 @@
         )
         patch.start()
         self.addCleanup(patch.stop)
-        self.recovered_at: float | None = None
+        self.returned_at = -math.inf
         self.directory = directory.Directory('a', edge.Bounds())
         self.target_list = target_list.TargetList(
             self.directory,
             registrations.decode_target,
-            lambda: self.recovered_at,
+            lambda: self.returned_at,
         )
         self.entries = [
             source.Entry(name, platform_objects.target('reads', 80))
@@ -46,23 +49,23 @@
         self.assertEqual(self.directory.target_names(), {'t-2'})
 
     async def test_lapsed_entry_keeps_its_target_for_the_grace(self) -> None:
-        self.recovered_at = 99.9
+        self.returned_at = 99.9
         self.target_list.apply_all(self.entries[:1])
         self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
-        self.now = self.recovered_at + GRACE_SECONDS
+        self.now = self.returned_at + GRACE_SECONDS
         self.target_list.remove_expired()
         self.assertEqual(self.directory.target_names(), {'t-1'})
 
     async def test_reregistered_target_is_kept(self) -> None:
-        self.recovered_at = 99.9
+        self.returned_at = 99.9
         self.target_list.apply_all(self.entries[:1])
         self.target_list.apply_changes(self.entries[1:])
-        self.now = self.recovered_at + GRACE_SECONDS
+        self.now = self.returned_at + GRACE_SECONDS
         self.target_list.remove_expired()
         self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
 
     async def test_removal_is_immediate_after_the_grace(self) -> None:
-        self.recovered_at = 100 - GRACE_SECONDS - 1
+        self.returned_at = 100 - GRACE_SECONDS - 1
         self.target_list.apply_changes([source.Entry('t-1', None)])
         self.assertEqual(self.directory.target_names(), {'t-2'})
 
@@ -124,33 +127,82 @@
     their entries and a missing entry means that the target is gone.
     """
 
-    async def test_no_grace_if_only_one_daemon_was_disconnected(self) -> None:
+    async def asyncSetUp(self) -> None:
+        """Start three daemons, the first with a connection of its own."""
+        await super().asyncSetUp()
+        self.memory_source = self.source
         await self.add_target('t-1', 'reads')
         await self.add_target('t-2', 'reads')
-        for number in (2, 3):
-            await self.start_daemon(number)
-        memory_source = self.source
-        disconnectable = DisconnectableSource(memory_source)
-        self.source = disconnectable
-        daemon = await self.start_daemon(1)
-        await self.wait_until(lambda: daemon.components.fleet.size == 3)
-        target_watcher = daemon.components.synchronizer.target_watcher
-        disconnectable.is_disconnected = True
-        await self.wait_until(
-            lambda: target_watcher.unavailable_since is not None
-        )
-        disconnectable.is_disconnected = False
-        await self.wait_until(lambda: target_watcher.unavailable_since is None)
-        daemon_directory = daemon.components.directory
-        with mock.patch.object(
+        self.peers = [await self.start_daemon(number) for number in (2, 3)]
+        self.disconnectable = DisconnectableSource(self.memory_source)
+        self.source = self.disconnectable
+        self.daemon = await self.start_daemon(1)
+        await self.wait_until(lambda: self.daemon.components.fleet.size == 3)
+        daemon_directory = self.daemon.components.directory
+        patch = mock.patch.object(
             daemon_directory,
             'remove_target',
             wraps=daemon_directory.remove_target,
-        ) as remove_target:
-            await memory_source.apply_change(
-                'servers', source.Entry('t-1', None)
-            )
-            await self.wait_until(
-                lambda: daemon_directory.find_target('t-1') is None
-            )
-        remove_target.assert_called_once_with('t-1', 'entry removed')
+        )
+        self.remove_target = patch.start()
+        self.addCleanup(patch.stop)
+
+    async def disconnect(self) -> None:
+        """Disconnect the first daemon and wait until it notices."""
+        self.disconnectable.is_disconnected = True
+        await self.wait_for_contact(self.daemon, has_contact=False)
+
+    async def reconnect(self) -> None:
+        """Reconnect the first daemon and wait until it notices."""
+        self.disconnectable.is_disconnected = False
+        await self.wait_for_contact(self.daemon, has_contact=True)
+
+    async def wait_for_contact(
+        self, edge_daemon: daemon.EdgeDaemon, *, has_contact: bool
+    ) -> None:
+        """Wait until a daemon notices that it lost or regained contact."""
+        watcher = edge_daemon.components.synchronizer.target_watcher
+        await self.wait_until(
+            lambda: (watcher.unavailable_since is None) == has_contact
+        )
+
+    async def remove_entry(self) -> None:
+        """Remove the entry of a target from the source."""
+        await self.memory_source.apply_change(
+            'servers', source.Entry('t-1', None)
+        )
+
+    async def wait_until_removed(self, edge_daemon: daemon.EdgeDaemon) -> None:
+        """Wait until a daemon has removed the target."""
+        daemon_directory = edge_daemon.components.directory
+        await self.wait_until(
+            lambda: daemon_directory.find_target('t-1') is None
+        )
+
+    async def test_no_grace_if_only_one_daemon_was_disconnected(self) -> None:
+        await self.disconnect()
+        await self.reconnect()
+        await self.remove_entry()
+        await self.wait_until_removed(self.daemon)
+        self.remove_target.assert_called_once_with('t-1', 'entry removed')
+
+    async def test_cut_watches_of_peers_do_not_keep_a_left_target(self) -> None:
+        # The source cuts the watches of the peers when it drops its history.
+        await self.disconnect()
+        await self.remove_entry()
+        for peer in self.peers:
+            await self.wait_until_removed(peer)
+        self.memory_source.is_unavailable = True
+        unchanged = self.memory_source.objects['servers']['t-2']
+        await self.memory_source.apply_change(
+            'servers', source.Entry('t-2', unchanged)
+        )
+        for peer in self.peers:
+            await self.wait_for_contact(peer, has_contact=False)
+        self.memory_source.is_unavailable = False
+        for peer in self.peers:
+            await self.wait_for_contact(peer, has_contact=True)
+        await asyncio.sleep(GRACE_SECONDS)
+        await self.reconnect()
+        await self.wait_until_removed(self.daemon)
+        self.remove_target.assert_called_once_with('t-1', 'entry removed')
--- a/tests/peers/test_fleet.py
+++ b/tests/peers/test_fleet.py
@@ -66,14 +66,16 @@
 
     def test_outage_is_shared_if_most_lost_the_source(self) -> None:
         """Two of three peers lost the source, then all peers are silent."""
-        local_fleet = self.daemons[0].fleet
-        self.assertFalse(local_fleet.is_outage_shared())
+        evidence = self.daemons[0].fleet.outage_evidence
+        evidence.record_loss()
+        self.send_round()
+        self.assertTrue(evidence.is_local())
         for daemon in self.daemons[1:3]:
-            daemon.read_contact_age = lambda: 5
+            daemon.read_contact_ages = lambda: (5, 5)
         self.send_round()
-        self.assertTrue(local_fleet.is_outage_shared())
+        self.assertFalse(evidence.is_local())
         self.now += 10
-        self.assertTrue(local_fleet.is_outage_shared())
+        self.assertFalse(evidence.is_local())
 
     def test_planned_stop_removes_member(self) -> None:
         """A leaving daemon must not be waited for until it times out."""
