Follow the readers of the zone while partitioned from the store

An answer to a call that was pending is ignored if it is older. A fetch that did not resolve the difference is repeated.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -124,9 +124,10 @@
         if read_result is None:
             return
         self.handle_success()
-        self.revision = max(self.revision, read_result.revision)
-        if read_result.entries:
-            self.on_changes(read_result.entries)
+        if read_result.revision >= self.revision:
+            self.revision = read_result.revision
+            if read_result.entries:
+                self.on_changes(read_result.entries)
         has_ended_early = clock.monotonic() - started_at < WATCH_SECONDS / 2
         if read_result.entries or has_ended_early:
             await asyncio.sleep(self.batch_pause_seconds())
@@ -186,8 +187,16 @@
         )
         self.handle_success()
         self.has_listed = True
-        self.revision = read_result.revision
-        self.on_full_list(read_result.entries)
+        if read_result.revision >= self.revision:
+            self.revision = read_result.revision
+            self.on_full_list(read_result.entries)
+
+    def skip_to(self, revision: int) -> None:
+        """Continue from a revision whose objects were obtained elsewhere.
+
+        The answer to a pending call is ignored if it reflects an older one.
+        """
+        self.revision = revision
 
     def handle_success(self) -> None:
         """Record that the source answered."""
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -55,8 +55,12 @@
         """Return whether this daemon is a reader of its zone."""
         return self.local_hash in self.count_exchange.fleet.reader_hashes()
 
-    def reconcile(self) -> None:
-        """Update the role, and refresh the targets after a mismatch."""
+    def reconcile(self) -> list[int]:
+        """Update the role, and refresh the targets after a mismatch.
+
+        Returns:
+            The readers whose targets have differed for too long.
+        """
         is_reader = self.is_reader()
         if is_reader != self.was_reader:
             self.was_reader = is_reader
@@ -69,6 +73,11 @@
                 'targets differ from those of readers', readers=len(readers)
             )
             self.watchers[0].refresh()
+        return readers
+
+    def retry_mismatches(self) -> None:
+        """Report mismatches again that were not resolved."""
+        self.handled_mismatches.clear()
 
     def refresh_all(self) -> None:
         """Refresh all watchers with fresh calls."""
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -198,20 +198,24 @@
             configuration=orjson.dumps(self.raw_configuration),
             targets=orjson.dumps(self.raw_targets),
             members=tuple(map(introduction.to_hello, members)),
+            targets_revision=self.target_watcher.revision,
         )
 
     async def catch_up(self) -> None:
         """Check for missing or outdated state periodically.
 
-        A daemon without state fetches a snapshot from a peer while the
-        source is unavailable; one whose peers have a newer configuration
-        reads it without waiting for the watch.
+        While the source is unavailable, a daemon without state fetches a
+        snapshot from a peer, and one whose targets differ from those of a
+        reader fetches it from that reader. One whose peers have a newer
+        configuration reads it without waiting for the watch.
         """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            self.reader_role.reconcile()
+            readers = self.reader_role.reconcile()
             if not self.directory.is_complete:
                 await self.fetch_from_any_peer()
+            elif readers and self.target_watcher.unavailable_since is not None:
+                await self.fetch_from_reader(readers)
             elif self.lag_seconds() > MAX_LAG_SECONDS:
                 self.behind_since = None
                 await self.read_newer_configuration()
@@ -242,6 +246,18 @@
         if other_hosts:
             await self.fetch_snapshot(random.choice(other_hosts))
 
+    async def fetch_from_reader(self, readers: list[int]) -> None:
+        """Fetch the snapshot of a reader that still has contact.
+
+        Args:
+            readers: Hashes of the names of the readers.
+        """
+        peers = self.count_exchange.fleet.peers
+        hosts = [peers[key].member.host for key in readers if key in peers]
+        if hosts:
+            await self.fetch_snapshot(random.choice(hosts))
+        self.reader_role.retry_mismatches()
+
     async def fetch_snapshot(self, host: str) -> None:
         """Fetch the snapshot of a peer and apply it."""
         try:
@@ -262,10 +278,24 @@
         configuration = orjson.loads(snapshot.configuration or b'{}')
         if configuration:
             self.decode_and_apply(configuration)
+        self.apply_snapshot_targets(snapshot)
+
+    def apply_snapshot_targets(self, snapshot: digest.Snapshot) -> None:
+        """Apply the targets of a peer if they are newer than the local ones.
+
+        The watch continues from their revision. While the source answers,
+        only the first targets are taken from a peer.
+        """
         targets = orjson.loads(snapshot.targets or b'{}')
-        if targets and not self.directory.has_targets:
-            entries = [source.Entry(*pair) for pair in targets.items()]
-            self.apply_all_targets(entries)
+        is_unavailable = self.target_watcher.unavailable_since is not None
+        is_newer = snapshot.targets_revision > self.target_watcher.revision
+        if not targets:
+            return
+        if self.directory.has_targets and not (is_unavailable and is_newer):
+            return
+        entries = [source.Entry(*pair) for pair in targets.items()]
+        self.target_watcher.skip_to(snapshot.targets_revision)
+        self.apply_all_targets(entries)
 
     async def read_newer_configuration(self) -> None:
         """Read a configuration that peers have and the watch missed.
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -56,4 +56,5 @@
   configuration @0 :Data;
   targets @1 :Data;
   members @2 :List(Hello);
+  targetsRevision @3 :UInt64;
 }
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -128,11 +128,14 @@
         configuration: Encoded configuration; empty if unknown.
         targets: Encoded registrations by name.
         members: Introductions of the known daemons.
+        targets_revision: Revision of the source that the registrations
+            reflect; 0 if unknown.
     """
 
     configuration: bytes
     targets: bytes
     members: tuple[Hello, ...]
+    targets_revision: int
 
 
 Body = Digest | Hello | Bundle
--- a/sapphirepaddle/peers/snapshot_codec.py
+++ b/sapphirepaddle/peers/snapshot_codec.py
@@ -24,6 +24,7 @@
                 configuration=bytes(reader.configuration),
                 targets=bytes(reader.targets),
                 members=tuple(map(digest_codec.read_hello, reader.members)),
+                targets_revision=reader.targetsRevision,
             )
     except digest_codec.DECODE_ERRORS as error:
         raise digest_codec.malformed_error(error) from error
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -99,6 +99,20 @@
             ) != is_unavailable:
                 await asyncio.sleep(0.01)
 
+    async def test_answer_older_than_a_peer_snapshot_is_ignored(self) -> None:
+        for number in (2, 3):
+            await self.change_object(number)
+        self.number_by_name['one'] = 3
+        self.watcher.skip_to(self.source.revision)
+        previous_calls = self.source.calls
+        self.source.stale_revision = self.source.revision - 1
+        async with self.source.changed:
+            self.source.changed.notify_all()
+        async with asyncio.timeout(20):
+            while self.source.calls == previous_calls:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.number_by_name['one'], 3)
+
     async def test_reader_makes_fresh_calls(self) -> None:
         self.is_reader = True
         self.watcher.refresh()
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -206,3 +206,23 @@
         await self.reconnect()
         await self.wait_until_removed(self.daemon)
         self.remove_target.assert_called_once_with('t-1', 'entry removed')
+
+    async def test_removal_reaches_a_disconnected_daemon_by_its_peers(
+        self,
+    ) -> None:
+        await self.disconnect()
+        await self.remove_entry()
+        await self.wait_until_removed(self.daemon)
+        self.assertTrue(self.disconnectable.is_disconnected)
+
+    async def test_changes_after_a_peer_snapshot_are_read(self) -> None:
+        await self.disconnect()
+        await self.remove_entry()
+        await self.wait_until_removed(self.daemon)
+        await self.reconnect()
+        await self.memory_source.apply_change(
+            'servers', source.Entry('t-2', None)
+        )
+        await self.wait_until(
+            lambda: not self.daemon.components.directory.target_names()
+        )
