Replace calls to the store that are never answered

Cause: the store was silent from 15 to 20 s: it accepted calls and never answered them, not even after it was back. A daemon whose watch was made in that time waited for its answer for 21.5 s, without noticing an outage. All daemons of the fleet re-watch within 0.6 s of a change, so all were blind.

Change: a fresh call after such a difference waits 0.5 s, so that it fails soon if it is not answered, and then counts as an outage with short calls; differences are reported again after a loss of contact. Readers watch the targets for 1.5 s at a time, and their recovery, sent at once, makes the daemons of the zone replace calls that are older; a recovery of the target watcher replaces the call of the configuration watcher. A watch has 1.0 s beyond its wait instead of 1.5 s. A refresh ends the pause after a change: with the pause, the steps from the store to a daemon that is no reader add up to 2.05 s, over the bound of 2 s.

--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -1,10 +1,14 @@
 """In-memory object source for tests and demonstrations."""
 
 import asyncio
+import typing
 
 from sapphirepaddle import errors
 from sapphirepaddle.directory import source
 
+CALL_TIMEOUT_SECONDS: typing.Final = 1.0
+"""Time beyond its wait after which a call that is not answered fails."""
+
 
 class MemorySource(source.Source):
     """Source that keeps its objects in memory, with simulated faults.
@@ -15,6 +19,9 @@
         changes: History of all changes as (revision, kind, entry).
         oldest_watch_revision: Oldest revision that a watch can start from.
         is_unavailable: Whether calls fail, to simulate an outage.
+        is_silent: Whether new calls are never answered, to simulate another
+            kind of outage.
+        unanswered_calls: Number of calls that were never answered.
         changed: Condition notified at each change.
         calls: Number of calls made.
         fresh_calls: Number of calls that did not allow a stale answer.
@@ -29,6 +36,8 @@
         self.changes: list[tuple[int, str, source.Entry]] = []
         self.oldest_watch_revision = 0
         self.is_unavailable = False
+        self.is_silent = False
+        self.unanswered_calls = 0
         self.changed = asyncio.Condition()
         self.calls = 0
         self.fresh_calls = 0
@@ -80,6 +89,8 @@
     ) -> source.ReadResult:
         """Wait for changes after a revision; no entries after the timeout."""
         self.record_call(is_stale_allowed)
+        if self.is_silent:
+            await self.leave_unanswered(seconds)
         if revision < self.oldest_watch_revision:
             raise errors.HistoryLostError(kind)
         async with self.changed:
@@ -103,6 +114,16 @@
             last_revision, self.changes_between(kind, revision, last_revision)
         )
 
+    async def leave_unanswered(self, seconds: float) -> typing.NoReturn:
+        """Let a call time out that is never answered.
+
+        Raises:
+            SourceError: After the wait of the call.
+        """
+        self.unanswered_calls += 1
+        await asyncio.sleep(seconds + CALL_TIMEOUT_SECONDS)
+        raise errors.SourceError('no answer')
+
     def visible_revision(self, is_stale_allowed: bool) -> int:
         """Return the newest revision that a call may see."""
         if is_stale_allowed and self.stale_revision is not None:
--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -12,10 +12,13 @@
 
 WATCH_SECONDS: typing.Final = 20.0
 """Maximum wait of one watch call; every call is billed."""
-OUTAGE_WATCH_SECONDS: typing.Final = 0.5
-"""Maximum wait of a watch call while the source is unavailable. A call that was
-lost in an outage is not answered after the recovery either, so it must time
-out soon."""
+READER_WATCH_SECONDS: typing.Final = 1.5
+"""Maximum wait of a watch call by which a reader detects that the source has
+stopped answering. A call that was received in an outage may never be answered,
+so it must time out soon."""
+SHORT_WATCH_SECONDS: typing.Final = 0.5
+"""Maximum wait of a watch call while the source is unavailable or when a newer
+state is known to exist."""
 BATCH_PAUSE_SECONDS: typing.Final = 0.6
 """Pause after a change, so that the next call returns further changes in one
 batch; well below the time in which changes must be applied."""
@@ -66,7 +69,9 @@
         on_recovered: Called when the source answers again after an outage.
         has_listed: Whether a full list was read.
         is_reader: Returns whether this daemon is a reader.
-        needs_fresh_call: Whether the next call must be fresh.
+        reader_watch_seconds: Maximum wait of one watch call on a reader.
+        call_started_at: Monotonic time at which the last watch call was made.
+        refresh_requested: Event that is set until a fresh call was answered.
         watch_timeout: Timeout of the pending watch call; None if there is
             none.
         logger: Logger for outages and recoveries of the source.
@@ -95,7 +100,9 @@
         self.on_lost: abc.Callable[[], None] = ignore_contact_change
         self.on_recovered: abc.Callable[[], None] = ignore_contact_change
         self.has_listed = False
-        self.needs_fresh_call = False
+        self.reader_watch_seconds = WATCH_SECONDS
+        self.call_started_at: float = 0
+        self.refresh_requested = asyncio.Event()
         self.watch_timeout: asyncio.Timeout | None = None
         self.logger = logs.get_logger('follower').bind(kind=kind)
 
@@ -119,7 +126,7 @@
         if not self.revision:
             await self.read_all()
             return
-        started_at = clock.monotonic()
+        self.call_started_at = clock.monotonic()
         read_result = await self.wait_for_changes()
         if read_result is None:
             return
@@ -128,9 +135,24 @@
             self.revision = read_result.revision
             if read_result.entries:
                 self.on_changes(read_result.entries)
-        has_ended_early = clock.monotonic() - started_at < WATCH_SECONDS / 2
+        has_ended_early = (
+            clock.monotonic() - self.call_started_at < self.watch_seconds() / 2
+        )
         if read_result.entries or has_ended_early:
-            await asyncio.sleep(self.batch_pause_seconds())
+            await self.pause_for_batch()
+
+    async def pause_for_batch(self) -> None:
+        """Wait for further changes, unless a refresh is requested."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.batch_pause_seconds()):
+                await self.refresh_requested.wait()
+
+    def watch_seconds(self) -> float:
+        """Return the maximum wait of the next watch call, in seconds."""
+        is_unavailable = self.unavailable_since is not None
+        if is_unavailable or self.refresh_requested.is_set():
+            return SHORT_WATCH_SECONDS
+        return self.reader_watch_seconds if self.is_reader() else WATCH_SECONDS
 
     def batch_pause_seconds(self) -> float:
         """Return the pause before the next call, in seconds."""
@@ -144,8 +166,7 @@
         Returns:
             The changes, or None if refresh() interrupted the call.
         """
-        is_fresh = self.needs_fresh_call or self.is_reader()
-        is_unavailable = self.unavailable_since is not None
+        is_fresh = self.refresh_requested.is_set() or self.is_reader()
         watch_timeout = asyncio.timeout(None)
         self.watch_timeout = watch_timeout
         try:
@@ -153,7 +174,7 @@
                 read_result = await self.source.watch(
                     self.kind,
                     self.revision,
-                    OUTAGE_WATCH_SECONDS if is_unavailable else WATCH_SECONDS,
+                    self.watch_seconds(),
                     is_stale_allowed=not is_fresh,
                 )
         except TimeoutError:
@@ -161,15 +182,15 @@
         finally:
             self.watch_timeout = None
         if is_fresh:
-            self.needs_fresh_call = False
+            self.refresh_requested.clear()
         return read_result
 
     def refresh(self) -> None:
-        """Request a fresh call, which replaces a pending watch call at once.
+        """Request a fresh call.
 
-        During the pause after a change it is made when the pause ends.
+        It replaces a pending watch call, or ends the pause after a change.
         """
-        self.needs_fresh_call = True
+        self.refresh_requested.set()
         if self.watch_timeout is not None and not self.watch_timeout.expired():
             self.watch_timeout.reschedule(asyncio.get_running_loop().time())
 
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -1,15 +1,19 @@
 """Decides whether a daemon reads the source for its zone, and detects lag."""
 
+import math
 import typing
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import object_watcher
-from sapphirepaddle.peers import count_exchange, digest
+from sapphirepaddle.peers import count_exchange, digest, fleet
 from sapphirepaddle.telemetry import logs
 
 MAX_MISMATCH_SECONDS: typing.Final = 0.7
 """Time for which the targets fingerprint of a reader may differ from the local
 one: slightly longer than the interval in which watches batch changes."""
+CONTACT_TOLERANCE_SECONDS: typing.Final = 0.3
+"""Tolerance of the time at which a reader reports to have regained contact: its
+resolution and the delay of the report."""
 
 
 class ReaderRole:
@@ -20,7 +24,8 @@
     source with fresh calls. Each sends the others a fingerprint of the
     registrations that it has loaded. The other daemons watch with calls whose
     answer may be stale, and make a fresh call when the fingerprint of a
-    reader has differed for MAX_MISMATCH_SECONDS.
+    reader has differed for MAX_MISMATCH_SECONDS, or when a reader has regained
+    contact since their call.
 
     Attributes:
         watchers: Watchers of the targets and of the configuration.
@@ -73,8 +78,38 @@
                 'targets differ from those of readers', readers=len(readers)
             )
             self.watchers[0].refresh()
+        self.replace_unanswered_calls()
         return readers
 
+    def replace_unanswered_calls(self) -> None:
+        """Replace calls made before a reader regained contact.
+
+        The source may have received them in an outage; then it never answers
+        them.
+        """
+        recovered_at = max(
+            (
+                reader.contact.since
+                for reader in self.peer_readers().values()
+                if reader.contact.since is not None
+            ),
+            default=-math.inf,
+        )
+        for watcher in self.watchers:
+            if recovered_at > watcher.call_started_at + (
+                CONTACT_TOLERANCE_SECONDS
+            ):
+                watcher.refresh()
+
+    def peer_readers(self) -> dict[int, fleet.Peer]:
+        """Return the other readers of the zone by the hash of the name."""
+        peers = self.count_exchange.fleet.peers
+        return {
+            key: peers[key]
+            for key in self.count_exchange.fleet.reader_hashes()
+            if key in peers
+        }
+
     def retry_mismatches(self) -> None:
         """Report mismatches again that were not resolved."""
         self.handled_mismatches.clear()
@@ -93,8 +128,7 @@
         local_fingerprint = self.count_exchange.read_targets_fingerprint()
         fingerprints = {
             key: (local_fingerprint, reader.targets_fingerprint)
-            for key in self.count_exchange.fleet.reader_hashes()
-            if (reader := self.count_exchange.fleet.peers.get(key)) is not None
+            for key, reader in self.peer_readers().items()
         }
         self.mismatch_since = {
             key: self.mismatch_since.get(key, now)
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -81,7 +81,10 @@
         )
         self.configuration_watcher.outage_prober = self.target_watcher
         outage_evidence = exchange.fleet.outage_evidence
-        self.target_watcher.on_lost = outage_evidence.record_loss
+        self.target_watcher.reader_watch_seconds = (
+            object_watcher.READER_WATCH_SECONDS
+        )
+        self.target_watcher.on_lost = self.handle_loss
         self.target_watcher.on_recovered = self.handle_recovery
         exchange.read_contact_ages = self.contact_ages
         self.target_list = target_list.TargetList(
@@ -104,8 +107,20 @@
         self.behind_since: float | None = None
         self.logger = logs.get_logger('knowledge')
 
+    def handle_loss(self) -> None:
+        """Record that the source stopped answering."""
+        self.count_exchange.fleet.outage_evidence.record_loss()
+        self.reader_role.retry_mismatches()
+
     def handle_recovery(self) -> None:
-        """Record that the source answers again, and log what peers report."""
+        """Record that the source answers again, and log what peers report.
+
+        Other daemons of the zone rely on a reader for the recovery, and the
+        configuration watcher on the target watcher.
+        """
+        self.configuration_watcher.refresh()
+        if self.reader_role.is_reader():
+            self.count_exchange.request_immediate_send()
         outage_evidence = self.count_exchange.fleet.outage_evidence
         outage_evidence.record_recovery()
         returned_at = outage_evidence.source_returned_at()
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -15,7 +15,7 @@
 """Timeout of a call; the store normally answers in milliseconds."""
 LIST_TIMEOUT_SECONDS: typing.Final = 4
 """Timeout of each page of a list; a page has up to one megabyte."""
-WATCH_GRACE_SECONDS: typing.Final = 1.5
+WATCH_GRACE_SECONDS: typing.Final = 1.0
 """Extra time for the answer of a watch beyond its requested wait."""
 HTTP_OK: typing.Final = 200
 HTTP_NOT_FOUND: typing.Final = 404
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sapphirepaddle.directory import memory_source, object_watcher, source
 
@@ -113,6 +114,25 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(self.number_by_name['one'], 3)
 
+    async def test_unanswered_refresh_is_repeated(self) -> None:
+        self.source.is_silent = True
+        self.watcher.refresh()
+        await self.wait_for_availability(is_unavailable=True)
+        await self.change_object(2)
+        self.source.is_silent = False
+        await self.wait_until_read(2)
+
+    async def test_refresh_ends_the_pause_after_a_change(self) -> None:
+        self.enterContext(
+            mock.patch.object(object_watcher, 'BATCH_PAUSE_SECONDS', 3600)
+        )
+        self.source.stale_revision = None
+        await self.change_object(2)
+        await self.wait_until_read(2)
+        await self.change_object(3)
+        self.watcher.refresh()
+        await self.wait_until_read(3)
+
     async def test_reader_makes_fresh_calls(self) -> None:
         self.is_reader = True
         self.watcher.refresh()
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -1,6 +1,8 @@
 """Tests of the readers of the source and of daemons that follow them."""
 
-from sapphirepaddle.directory import source
+from unittest import mock
+
+from sapphirepaddle.directory import object_watcher, source
 from sapphirepaddle.edge import daemon
 from tests.support import edge_daemon_case, platform_objects
 
@@ -103,6 +105,22 @@
             ),
         )
 
+    async def test_calls_unanswered_in_an_outage_are_replaced(self) -> None:
+        # Only a new call shows that the source answers again.
+        self.source.stale_revision = None
+        self.source.is_silent = True
+        self.enterContext(
+            mock.patch.object(object_watcher, 'WATCH_SECONDS', 3600)
+        )
+        await self.add_target('t-3', 'reads')
+        await self.wait_until(
+            lambda: self.source.unanswered_calls >= len(self.daemons)
+        )
+        self.source.stale_revision = self.source.revision
+        self.source.is_silent = False
+        await self.drain()
+        await self.wait_until_all_drain()
+
     async def test_configuration_comes_into_force(self) -> None:
         await self.configure(platform_objects.configuration(3))
         await self.wait_until(
