Bound answers without end in memory and time

A target in trouble may send bytes that are no answer, in a head or a body, until the daemon closes the connection.

- Interim answers, answers to other requests and bodies of tiny chunks were read until the deadline, as nothing limited their number.
- A stated length over the limit was found out after 16 MiB only.
- Only single bodies had a limit: 24 callers could hold 24 x 16 MiB, more than a VM has.
- A closed connection stayed open while bytes of the request were unsent, which a target that only sends never reads.

Change: at most 16 interim or foreign answers are skipped, a body has at most 16,384 pieces and is refused at its head if it states more than the limit. Bodies of answers share a memory budget, as those of requests do; one body may hold no more than it leaves to the others, so a few large ones do not use it up. Other tasks get a turn after each read, and the connection is aborted.

Endless heads, trailers, chunk sizes and extensions were bounded already, and others were served meanwhile.

--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -112,7 +112,11 @@
     def create_caller_components(self) -> None:
         """Create the components that serve callers and the balancer."""
         decision_log = decisions.DecisionLog(self.counters)
-        self.attempt_runner = attempt.AttemptRunner(self.platform.header_codec)
+        body_bytes = self.settings.memory_bytes * body_memory.BODY_MEMORY_RATIO
+        self.attempt_runner = attempt.AttemptRunner(
+            self.platform.header_codec,
+            body_memory.BodyMemoryBudget(body_bytes),
+        )
         retrying_sender = sender.RetryingSender(
             self.attempt_runner,
             self.try_acquire_retry,
@@ -127,9 +131,7 @@
             retrying_sender,
             self.counters,
         )
-        self.forwarder.memory = body_memory.BodyMemoryBudget(
-            self.settings.memory_bytes * body_memory.BODY_MEMORY_RATIO,
-        )
+        self.forwarder.memory = body_memory.BodyMemoryBudget(body_bytes)
         self.caller_listener = listener.Listener(
             self.settings.callers,
             self.forwarder,
--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -8,6 +8,7 @@
 from sapphirepaddle.gateway import headers as header_rules
 from sapphirepaddle.proxy import (
     attempt_result,
+    body_memory,
     connection_pool,
     header_codec,
     http_message,
@@ -52,13 +53,19 @@
 
     Attributes:
         header_codec: Reads and writes the headers of both sides.
+        answer_memory: Memory budget for the bodies of answers.
         connection_pool: Idle connections to targets.
     """
 
-    def __init__(self, codec: header_codec.HeaderCodec) -> None:
+    def __init__(
+        self,
+        codec: header_codec.HeaderCodec,
+        answer_memory: body_memory.BodyMemoryBudget,
+    ) -> None:
         """Initialize with an empty connection pool."""
         self.header_codec = codec
-        self.connection_pool = connection_pool.ConnectionPool()
+        self.answer_memory = answer_memory
+        self.connection_pool = connection_pool.ConnectionPool(answer_memory)
 
     async def connect(
         self,
--- a/sapphirepaddle/proxy/connection_pool.py
+++ b/sapphirepaddle/proxy/connection_pool.py
@@ -3,7 +3,7 @@
 import typing
 
 from sapphirepaddle import clock
-from sapphirepaddle.proxy import target_connection
+from sapphirepaddle.proxy import body_memory, target_connection
 
 MAX_IDLE_PER_TARGET: typing.Final = 4
 """Maximum number of idle connections to one target."""
@@ -17,10 +17,12 @@
     Attributes:
         idle: Idle connections by address, the most recently used one last.
         opened_count: Number of connections opened so far.
+        answer_memory: Memory budget for the bodies of answers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, answer_memory: body_memory.BodyMemoryBudget) -> None:
         """Initialize without connections."""
+        self.answer_memory = answer_memory
         self.idle: dict[Address, list[target_connection.TargetConnection]] = {}
         self.opened_count = 0
 
@@ -57,7 +59,9 @@
             TargetError: If it does not open in time; nothing was sent.
         """
         self.opened_count += 1
-        return await target_connection.connect(*address, timeout_seconds)
+        return await target_connection.connect(
+            *address, timeout_seconds, self.answer_memory
+        )
 
     def return_idle(
         self,
--- a/sapphirepaddle/proxy/http_client.py
+++ b/sapphirepaddle/proxy/http_client.py
@@ -1,11 +1,12 @@
 """HTTP client for the daemon's own calls, with kept-alive connections."""
 
 import asyncio
+import math
 import socket
 import typing
 
 from sapphirepaddle import errors
-from sapphirepaddle.proxy import connection_pool, http_message
+from sapphirepaddle.proxy import body_memory, connection_pool, http_message
 
 CONNECT_SECONDS: typing.Final = 0.6
 """Connect timeout; the source is milliseconds away."""
@@ -30,7 +31,9 @@
     def __init__(self, host: str, port: int) -> None:
         """Initialize with an empty connection pool."""
         self.address = (host, port)
-        self.connection_pool = connection_pool.ConnectionPool()
+        self.connection_pool = connection_pool.ConnectionPool(
+            body_memory.BodyMemoryBudget(math.inf)
+        )
 
     async def call(
         self,
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -8,9 +8,15 @@
 import h11
 
 from sapphirepaddle import clock, codes, errors
-from sapphirepaddle.proxy import http_message
-
-READ_BYTES: typing.Final = 65536
+from sapphirepaddle.proxy import body_memory, http_message
+
+READ_BYTES: typing.Final = 16384
+"""Maximum number of bytes parsed before other tasks get a turn."""
+MAX_SKIPPED_HEADS: typing.Final = 16
+"""Maximum number of interim answers and of late answers to other requests that
+are skipped before the answer."""
+MAX_BODY_PIECES: typing.Final = 16384
+"""Maximum number of chunks of a body: parsing takes time for each of them."""
 CONNECTION_ERRORS: typing.Final = (
     OSError,
     h11.RemoteProtocolError,
@@ -26,6 +32,7 @@
     Attributes:
         reader: Stream from the target.
         writer: Stream to the target.
+        answer_memory: Memory budget for the bodies of answers.
         http: Parser and serializer of the exchange.
         idle_since: When the last exchange ended, on the monotonic clock.
         idle_watch: Task that ends when data or a close arrives while the
@@ -36,10 +43,12 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        answer_memory: body_memory.BodyMemoryBudget,
     ) -> None:
         """Initialize with the streams of an open connection."""
         self.reader = reader
         self.writer = writer
+        self.answer_memory = answer_memory
         self.http = new_parser()
         self.idle_since = clock.monotonic()
         self.idle_watch: asyncio.Task[None] | None = None
@@ -63,13 +72,14 @@
     ) -> http_message.ReceivedAnswer:
         """Send a request and read answers until one matches it."""
         self.writer.write(render(self.http, outgoing))
-        while True:
-            answer = await self.read_answer()
+        for _ in range(MAX_SKIPPED_HEADS):
+            answer = await self.read_answer(outgoing.method)
             if outgoing.matches(answer.status, answer.headers):
                 return answer
             if not answer.is_reusable:
                 raise h11.RemoteProtocolError('answer to another request')
             self.reset_parser(outgoing)
+        raise h11.RemoteProtocolError('too many answers to other requests')
 
     def reset_parser(self, outgoing: http_message.OutgoingRequest) -> None:
         """Prepare for a further answer to the request that was sent.
@@ -83,27 +93,42 @@
         if leftover:
             self.http.receive_data(bytes(leftover))
 
-    async def read_answer(self) -> http_message.ReceivedAnswer:
-        """Read one complete answer."""
-        head = await self.next_event()
-        while isinstance(head, h11.InformationalResponse):
+    async def read_answer(self, method: bytes) -> http_message.ReceivedAnswer:
+        """Read one complete answer to a request with a method."""
+        for _ in range(MAX_SKIPPED_HEADS):
             head = await self.next_event()
+            if not isinstance(head, h11.InformationalResponse):
+                break
         if not isinstance(head, h11.Response):
-            raise h11.RemoteProtocolError('closed without an answer')
+            raise h11.RemoteProtocolError('no answer')
+        if method != b'HEAD':
+            check_stated_length(head)
         return self.build_answer(head, await self.read_body())
 
     async def read_body(self) -> bytes:
         """Read the body of an answer to its end."""
-        parts: list[bytes] = []
-        size = 0
-        event = await self.next_event()
-        while isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > http_message.MAX_BODY_BYTES:
-                raise h11.RemoteProtocolError('body too large')
-            event = await self.next_event()
-        return b''.join(parts)
+        body = bytearray()
+        try:
+            for _ in range(MAX_BODY_PIECES):
+                event = await self.next_event()
+                if not isinstance(event, h11.Data):
+                    return bytes(body)
+                self.reserve_memory(len(body), len(event.data))
+                body += event.data
+        finally:
+            self.answer_memory.release(len(body))
+        raise h11.RemoteProtocolError('body in too many pieces')
+
+    def reserve_memory(self, held_size: int, size: int) -> None:
+        """Reserve memory for a part of a body.
+
+        Raises:
+            RemoteProtocolError: If the body is too large.
+        """
+        if held_size + size > http_message.MAX_BODY_BYTES:
+            raise h11.RemoteProtocolError('body too large')
+        if not self.answer_memory.try_extend(held_size, size):
+            raise h11.RemoteProtocolError('no memory for the body')
 
     def build_answer(
         self, head: h11.Response, body: bytes
@@ -122,6 +147,8 @@
         event = self.http.next_event()
         while event is h11.NEED_DATA:
             self.http.receive_data(await self.reader.read(READ_BYTES))
+            # A read does not yield to other tasks while data is buffered.
+            await asyncio.sleep(0)
             event = self.http.next_event()
         return event
 
@@ -167,10 +194,25 @@
         return watch.cancelled()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection at once.
+
+        Bytes that the target has not taken are dropped: a target that only
+        sends would keep the connection open.
+        """
         if self.idle_watch is not None:
             self.idle_watch.cancel()
-        self.writer.close()
+        self.writer.transport.abort()
+
+
+def check_stated_length(head: h11.Response) -> None:
+    """Check the stated length of a body.
+
+    Raises:
+        RemoteProtocolError: If it is larger than any body may be.
+    """
+    stated_length = dict(head.headers).get(b'content-length', b'0')
+    if int(stated_length) > http_message.MAX_BODY_BYTES:
+        raise h11.RemoteProtocolError('stated length too large')
 
 
 def new_parser() -> h11.Connection:
@@ -198,7 +240,10 @@
 
 
 async def connect(
-    host: str, port: int, timeout_seconds: float
+    host: str,
+    port: int,
+    timeout_seconds: float,
+    answer_memory: body_memory.BodyMemoryBudget,
 ) -> TargetConnection:
     """Open a connection.
 
@@ -211,4 +256,4 @@
     except OSError as error:
         detail = f'{type(error).__name__}: {error}'
         raise errors.TargetError(codes.TARGET_UNREACHABLE, detail) from error
-    return TargetConnection(reader, writer)
+    return TargetConnection(reader, writer, answer_memory)
--- a/tests/support/edge_daemon_case.py
+++ b/tests/support/edge_daemon_case.py
@@ -42,6 +42,7 @@
     Attributes:
         configuration: Configuration written before the test.
         bounds: Bounds in the settings of the daemons.
+        memory_bytes: Memory limit in the settings of the daemons.
         network: Loopback addresses that no other test uses.
         source: Source of the configuration and the registered targets.
         daemons: Running daemons.
@@ -51,6 +52,7 @@
 
     configuration = platform_objects.configuration()
     bounds = SHORT_STOP
+    memory_bytes = 600000
 
     async def asyncSetUp(self) -> None:
         """Write the configuration to a new source."""
@@ -113,7 +115,7 @@
             snapshots=edge.Address(host, SNAPSHOT_PORT),
             source_address=edge.Address(host, 1),
             seeds=(f'{self.network.prefix}.0.1',),
-            memory_bytes=600000,
+            memory_bytes=self.memory_bytes,
             bounds=self.bounds,
         )
         platform = adapter.PlatformAdapter(settings.source_address)
