Bound streamed answers of the entry daemon, and close after a bad head

Callers of paddle-entry got an endless body for as long as they read: the timeout of an attempt ended with the first 256 KiB, after which the body was streamed without a limit in time. A connection whose answer was rejected by its head (an interim answer, or a body without a length) stayed open in the pool, with bytes arriving until its buffer was full; it was not reused, but not closed either, as aiosonic takes such an answer for one without a body.

A streamed body must be complete at the deadline of its request, not of the attempt, which may be shorter as long as it can be retried. Otherwise the caller's connection is closed in the middle of the body. A rejected answer closes its connection unless another request owns it already.

--- a/sapphirepaddle/gateway/attempt.py
+++ b/sapphirepaddle/gateway/attempt.py
@@ -62,18 +62,25 @@
     Attributes:
         identifier: Identifier sent to the target; an answer with another
             one is rejected.
+        body_seconds: Time limit of a streamed body, from the start of the
+            attempt; None for that of the attempt. Unlike the attempt, a body
+            that is passed on already cannot be retried.
         has_written: Whether any byte of the request may have been sent.
         is_reading_head: Whether the head of the answer is being read.
         head_bytes: Bytes of the answer's head read so far.
         drain: Waits until the send buffer of the connection has space;
             None before the first write.
+        close_unowned: Closes the connection unless a request owns it; None
+            before the first write.
     """
 
     identifier: str
+    body_seconds: float | None = None
     has_written: bool = False
     is_reading_head: bool = False
     head_bytes: int = 0
     drain: abc.Callable[[], abc.Awaitable[None]] | None = None
+    close_unowned: abc.Callable[[], None] | None = None
 
 
 CURRENT: contextvars.ContextVar[Attempt | None] = contextvars.ContextVar(
--- a/sapphirepaddle/gateway/dispatch.py
+++ b/sapphirepaddle/gateway/dispatch.py
@@ -156,6 +156,7 @@
                 started_at + slow_seconds * STALL_FACTOR,
             )
         )
+        current_attempt.body_seconds = remaining_run_seconds(request, progress)
         timeout_seconds = self.attempt_timeout_seconds(
             request, progress, slow_seconds
         )
@@ -234,9 +235,7 @@
         retried gets a shorter timeout on all but its last attempt, so that
         another target can still be tried.
         """
-        now = clock.monotonic()
-        run_seconds = request.route.deadline_ms / MILLISECONDS_PER_SECOND
-        remaining_seconds = min(run_seconds, progress.run_deadline - now)
+        remaining_seconds = remaining_run_seconds(request, progress)
         baseline = progress.queue.pool.baseline(request.route.name)
         has_baseline = len(baseline.samples) >= MIN_BASELINE_SAMPLES
         is_last_attempt = progress.failed_attempts + 1 >= self.settings.attempts
@@ -394,3 +393,12 @@
         """Close the connections to all targets."""
         close_calls = (client.close() for client in self.clients.values())
         await asyncio.gather(*close_calls)
+
+
+def remaining_run_seconds(
+    request: request_context.RequestContext,
+    progress: request_progress.RequestProgress,
+) -> float:
+    """Return the seconds that are left for running a request."""
+    run_seconds = request.route.deadline_ms / MILLISECONDS_PER_SECOND
+    return min(run_seconds, progress.run_deadline - clock.monotonic())
--- a/sapphirepaddle/gateway/target_client.py
+++ b/sapphirepaddle/gateway/target_client.py
@@ -99,6 +99,8 @@
         self, request: 'OutgoingRequest'
     ) -> answer.Answer:
         """Send the request and read the answer without a timeout."""
+        body_seconds = request.attempt.body_seconds or request.timeout_seconds
+        deadline = asyncio.get_running_loop().time() + body_seconds
         request.headers['X-Request-Id'] = request.attempt.identifier
         request.headers['X-Deadline-Ms'] = str(
             int(request.timeout_seconds * MILLISECONDS_PER_SECOND),
@@ -112,8 +114,10 @@
             stream=True,
         )
         try:
-            return await self.read_answer(response, request)
+            return await self.read_answer(response, request, deadline)
         except BaseException:
+            if request.attempt.close_unowned is not None:
+                request.attempt.close_unowned()
             await response.aclose()
             raise
 
@@ -121,8 +125,16 @@
         self,
         response: client.HttpResponse,
         request: 'OutgoingRequest',
+        deadline: float,
     ) -> answer.Answer:
-        """Check the head of the answer and read or stream its body."""
+        """Check the head of the answer and read or stream its body.
+
+        Args:
+            response: The answer whose head was read.
+            request: The request.
+            deadline: Time on the clock of the event loop at which the body
+                must be complete.
+        """
         self.check_answer(response, request)
         target_answer = answer.Answer(
             response.status_code,
@@ -131,7 +143,7 @@
         if response.body or not has_body(response, request.method):
             target_answer.body = response.body
         else:
-            await read_body(response.read_chunks(), target_answer)
+            await read_body(response.read_chunks(), target_answer, deadline)
         return target_answer
 
     def check_answer(
@@ -262,13 +274,16 @@
 async def read_body(
     chunks: abc.AsyncGenerator[bytes, None],
     target_answer: answer.Answer,
+    deadline: float,
 ) -> None:
     """Buffer a small body; turn a large one into a stream."""
     buffer = bytearray()
     async for chunk in chunks:
         buffer += chunk
         if len(buffer) > MAX_BUFFERED_BYTES:
-            target_answer.stream = stream_remaining(bytes(buffer), chunks)
+            target_answer.stream = stream_remaining(
+                bytes(buffer), chunks, deadline
+            )
             return
     target_answer.body = bytes(buffer)
 
@@ -276,20 +291,38 @@
 async def stream_remaining(
     buffered: bytes,
     chunks: abc.AsyncGenerator[bytes, None],
+    deadline: float,
 ) -> abc.AsyncGenerator[bytes, None]:
     """Yield the buffered bytes, then the rest of the body.
 
     Closing this generator before its end closes the connection.
 
     Raises:
-        AttemptFailedError: If the body ends before its declared length.
+        AttemptFailedError: If the body ends before its declared length or is
+            not complete at the deadline.
     """
     async with contextlib.aclosing(chunks):
-        yield buffered
-        try:
-            async for chunk in chunks:
-                yield chunk
-        except EXCHANGE_ERRORS as error:
-            raise AttemptFailedError(
-                Fault.BROKEN, 'body ended early'
-            ) from error
+        chunk: bytes | None = buffered
+        while chunk is not None:
+            yield chunk
+            chunk = await next_chunk(chunks, deadline)
+
+
+async def next_chunk(
+    chunks: abc.AsyncGenerator[bytes, None], deadline: float
+) -> bytes | None:
+    """Return the next chunk of a body, or None at its end.
+
+    Raises:
+        AttemptFailedError: If there is none before the deadline or the body
+            ends before its declared length.
+    """
+    if asyncio.get_running_loop().time() >= deadline:
+        raise AttemptFailedError(Fault.TIMEOUT, 'body not complete')
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await anext(chunks, None)
+    except TimeoutError as error:
+        raise AttemptFailedError(Fault.TIMEOUT, 'body not complete') from error
+    except EXCHANGE_ERRORS as error:
+        raise AttemptFailedError(Fault.BROKEN, 'body ended early') from error
--- a/sapphirepaddle/gateway/target_connection.py
+++ b/sapphirepaddle/gateway/target_connection.py
@@ -52,6 +52,7 @@
             current_attempt.has_written = True
             current_attempt.is_reading_head = True
             current_attempt.drain = self.drain
+            current_attempt.close_unowned = self.close_unowned
         super().write(data)
 
     async def __aexit__(
@@ -70,6 +71,16 @@
             self.close()
         await super().__aexit__(kind, error, traceback)
 
+    def close_unowned(self) -> None:
+        """Close the connection unless a request owns it.
+
+        aiosonic returns a connection to the pool after the head of an answer
+        that states no body, also if more bytes follow.
+        """
+        if not self.blocked:
+            self.keep = False
+            self.close()
+
     async def drain(self) -> None:
         """Wait until the send buffer has space."""
         if self.writer is not None:
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sapphirepaddle.gateway import attempt, target_client
-from tests.support import raw_target
+from tests.support import endless_target, raw_target
 
 Fault = attempt.Fault
 LONG_TIMEOUT_SECONDS = 10
@@ -18,9 +18,15 @@
 
     requires_echo = False
 
-    async def start_target(self, script: raw_target.Script) -> None:
+    async def start_raw_target(self, script: raw_target.Script) -> None:
         """Start a raw target with a script and create a client for it."""
-        self.target = raw_target.RawTarget(script)
+        await self.start_target(raw_target.RawTarget(script))
+
+    async def start_target(
+        self, target: raw_target.RawTarget | endless_target.EndlessTarget
+    ) -> None:
+        """Start a target and create a client for it."""
+        self.target = target
         await self.target.start()
         self.addAsyncCleanup(self.target.stop)
         self.client = target_client.TargetClient(
@@ -119,13 +125,15 @@
         }
         for name, raw in answers.items():
             with self.subTest(name):
-                await self.start_target(fixed_answer_script(raw, close=True))
+                await self.start_raw_target(
+                    fixed_answer_script(raw, close=True)
+                )
                 fault = await self.send_expecting_fault()
                 self.assertIs(fault, Fault.BROKEN)
 
     async def test_mismatched_identifier(self) -> None:
         """An answer with the identifier of another request is rejected."""
-        await self.start_target(
+        await self.start_raw_target(
             fixed_answer_script(raw_target.complete_answer('other'))
         )
         self.assertIs(await self.send_expecting_fault(), Fault.CROSSED)
@@ -136,12 +144,12 @@
             b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n'
             b'X-Request-Id: other\r\n\r\n'
         )
-        await self.start_target(fixed_answer_script(raw))
+        await self.start_raw_target(fixed_answer_script(raw))
         self.assertIs(await self.send_expecting_fault(), Fault.CROSSED)
 
     async def test_unreachable(self) -> None:
         """A target that cannot be connected to is unreachable."""
-        await self.start_target(fixed_answer_script(b''))
+        await self.start_raw_target(fixed_answer_script(b''))
         await self.target.stop()
         self.assertIs(await self.send_expecting_fault(), Fault.UNREACHABLE)
 
@@ -156,7 +164,7 @@
 
     async def test_without_identifier(self) -> None:
         """An answer without a request identifier is rejected."""
-        await self.start_target(
+        await self.start_raw_target(
             fixed_answer_script(raw_target.complete_answer('x', echo=False))
         )
         self.assertIs(await self.send_expecting_fault(), Fault.CROSSED)
@@ -198,7 +206,7 @@
             await asyncio.sleep(rng.choice((0, 0, 0.1)))
             writer.write(raw_target.complete_answer(identifier, echo=False))
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         self.assertGreater(
             await self.count_answers(30, timeout_seconds=0.05), 20
         )
@@ -209,7 +217,7 @@
         async def script(identifier: str, writer: asyncio.StreamWriter) -> None:
             writer.write(raw_target.complete_answer(identifier, echo=False) * 2)
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         self.assertEqual(
             await self.count_answers(30, LONG_TIMEOUT_SECONDS), 120
         )
@@ -222,7 +230,7 @@
             await asyncio.sleep(0.002)
             writer.write(raw_target.complete_answer(identifier))
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         self.assertGreater(await self.count_answers(30), 0)
 
     async def test_excess_bytes(self) -> None:
@@ -233,7 +241,7 @@
                 raw_target.complete_answer(identifier, echo=False) + b'more'
             )
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         self.assertEqual(
             await self.count_answers(30, LONG_TIMEOUT_SECONDS), 120
         )
@@ -245,7 +253,7 @@
             await asyncio.sleep(0.02)
             writer.write(raw_target.complete_answer(identifier, echo=False))
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         rng = random.Random(2)
 
         async def send_and_cancel() -> None:
@@ -268,7 +276,7 @@
                 return
             writer.write(raw_target.complete_answer(identifier))
 
-        await self.start_target(script)
+        await self.start_raw_target(script)
         for method in ('GET', 'POST', 'PUT', 'DELETE'):
             await self.send(method=method, body=b'')
             fault = await self.send_expecting_fault(method=method)
@@ -289,7 +297,7 @@
         """A large body that ends early is a fault."""
         size = target_client.MAX_BUFFERED_BYTES * 3
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n'.encode()
-        await self.start_target(
+        await self.start_raw_target(
             fixed_answer_script(head + b'x' * (size - 10), close=True)
         )
         self.assertIs(
@@ -300,7 +308,7 @@
         """A large body is received completely."""
         size = target_client.MAX_BUFFERED_BYTES * 3
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n'.encode()
-        await self.start_target(fixed_answer_script(head + b'x' * size))
+        await self.start_raw_target(fixed_answer_script(head + b'x' * size))
         _, body = await self.send(timeout_seconds=2)
         self.assertEqual(len(body), size)
 
