Choose again if the target left while its connection opened

A request was sent to the target that was chosen before its connection opened (up to 0.4 s), although the daemon had learned meanwhile that it left; this is part of the 2 s in which a leaving target may still get requests.

The target is checked again before the request is sent; if it left, the connection is closed and another target is chosen.

tests.proxy.test_sender.TestLeavingTargets failed before ('t-1' unexpectedly found in ['t-1', 't-0']).

--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -201,7 +201,10 @@
             except errors.TargetError as error:
                 self.record_unreachable(context, target, error)
                 continue
-            return target, connection
+            if context.service_targets.is_usable(target):
+                return target, connection
+            connection.close()
+            context.tried_targets.discard(target.registration.name)
         return attempt_result.AttemptResult(
             AttemptResultKind.NOT_RUN, 'deadline passed'
         )
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -63,6 +63,14 @@
         """Remove a target, if it is present."""
         self.candidates.pop(name, None)
 
+    def is_usable(self, target: candidate.Candidate) -> bool:
+        """Return whether a selected target is still listed and not draining."""
+        name = target.registration.name
+        return (
+            self.candidates.get(name) is target
+            and not target.registration.is_draining
+        )
+
     def record_latency(self, seconds: float) -> None:
         """Record the time of a good answer, in seconds."""
         if not self.typical_seconds:
--- a/tests/proxy/test_sender.py
+++ b/tests/proxy/test_sender.py
@@ -1,9 +1,11 @@
 """Tests of the attempts of one request at several targets."""
 
 import asyncio
+import dataclasses
 import random
 import typing
 import unittest
+from unittest import mock
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import route
@@ -53,13 +55,44 @@
         )
 
 
-class TestAttemptLimit(unittest.IsolatedAsyncioTestCase):
-    """A route that allows two attempts must not send a request to a third.
+class LeavingWhileConnecting(SlowAttempts):
+    """Attempts whose first target leaves while the connection opens.
 
-    An attempt that is still connecting counts: a hedged attempt that starts
-    meanwhile could otherwise exceed the limit.
+    Attributes:
+        leave: Called with the first target.
+        left: Name of the first target.
+        closed_connections: Number of connections closed unused.
     """
 
+    def __init__(
+        self, leave: typing.Callable[[candidate.Candidate], None]
+    ) -> None:
+        """Initialize without attempts."""
+        super().__init__([])
+        self.leave = leave
+        self.left = ''
+        self.closed_connections = 0
+
+    async def connect(
+        self, _context: request_context.RequestContext, target: object
+    ) -> mock.Mock:
+        """Open a connection; the first target leaves meanwhile."""
+        assert isinstance(target, candidate.Candidate)
+        if not self.left:
+            self.left = target.registration.name
+            self.leave(target)
+        connection = mock.Mock()
+        connection.close = self.record_close
+        return connection
+
+    def record_close(self) -> None:
+        """Record that a connection was closed."""
+        self.closed_connections += 1
+
+
+class SenderCase(unittest.IsolatedAsyncioTestCase):
+    """A test that sends one request to several targets."""
+
     def build_context(self) -> request_context.RequestContext:
         """Return the state of a new request."""
         targets = service_targets.ServiceTargets('a', random.Random(1))
@@ -98,9 +131,12 @@
             deadline=clock.monotonic() + 2,
         )
 
-    async def run_with(self, connect_seconds: list[float]) -> list[str]:
+    async def run_attempts(
+        self,
+        attempt_runner: SlowAttempts,
+        context: request_context.RequestContext,
+    ) -> list[str]:
         """Return the targets that got a request."""
-        attempt_runner = SlowAttempts(connect_seconds)
         retrying_sender = sender.RetryingSender(
             typing.cast(typing.Any, attempt_runner),
             lambda _service: True,
@@ -109,12 +145,61 @@
             decisions.DecisionLog(counters.Counters()),
         )
         with self.assertRaises(sender.errors.RefusedError):
-            await retrying_sender.run(self.build_context())
+            await retrying_sender.run(context)
         return attempt_runner.sent
 
+
+class TestAttemptLimit(SenderCase):
+    """A route that allows two attempts must not send a request to a third.
+
+    An attempt that is still connecting counts: a hedged attempt that starts
+    meanwhile could otherwise exceed the limit.
+    """
+
+    async def run_with(self, connect_seconds: list[float]) -> list[str]:
+        """Return the targets that got a request."""
+        return await self.run_attempts(
+            SlowAttempts(connect_seconds), self.build_context()
+        )
+
     async def test_both_attempts_are_used(self) -> None:
         self.assertEqual(len(await self.run_with([0, 0, 0])), 2)
 
     async def test_attempt_that_still_connects_counts(self) -> None:
         sent = await self.run_with([0.1, 0.4, 0, 0])
         self.assertEqual(len(sent), 2)
+
+
+class TestLeavingTargets(SenderCase):
+    """A request must not be sent to a target that left while it connected."""
+
+    async def check(
+        self,
+        context: request_context.RequestContext,
+        leave: typing.Callable[[candidate.Candidate], None],
+    ) -> None:
+        """Run a request whose first target leaves, and check where it went."""
+        attempt_runner = LeavingWhileConnecting(leave)
+        sent = await self.run_attempts(attempt_runner, context)
+        self.assertNotIn(attempt_runner.left, sent)
+        self.assertEqual(len(sent), 2)
+        self.assertEqual(attempt_runner.closed_connections, 1)
+
+    async def test_target_removed_while_connecting(self) -> None:
+        context = self.build_context()
+        await self.check(
+            context,
+            lambda target: context.service_targets.remove(
+                target.registration.name
+            ),
+        )
+
+    async def test_target_draining_while_connecting(self) -> None:
+        context = self.build_context()
+        await self.check(
+            context,
+            lambda target: context.service_targets.apply_registration(
+                dataclasses.replace(target.registration, is_draining=True),
+                clock.monotonic(),
+            ),
+        )
