--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -107,6 +107,8 @@
 
     async def test_calls_unanswered_in_an_outage_are_replaced(self) -> None:
         # Only a new call shows that the source answers again.
+        for number in range(5, 8):
+            await self.start_daemon(number)
         self.source.stale_revision = None
         self.source.is_silent = True
         self.enterContext(
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -220,6 +220,34 @@
         'from sapphirepaddle.directory import target_list\n'
         'target_list.TargetList.apply_changes = lambda self, entries: None',
     ),
+    Mutation(
+        'edge: peers date the return of the store',
+        'directory.test_target_list.TestDisconnectedDaemon.'
+        'test_cut_watches_of_peers_do_not_keep_a_left_target',
+        'from sapphirepaddle.edge import state_synchronizer\n'
+        'from sapphirepaddle.peers import outage_evidence\n'
+        'outage_evidence.OutageEvidence.record_report = (\n'
+        '    lambda self, name_hash, peer_contact: None\n'
+        ')\n'
+        'async def fetch(self, readers):\n    pass\n'
+        'state_synchronizer.StateSynchronizer.fetch_from_reader = fetch',
+    ),
+    Mutation(
+        'edge: calls older than the recovery of a reader are replaced',
+        'edge.test_reader_role.TestReaderRole.'
+        'test_calls_unanswered_in_an_outage_are_replaced',
+        'from sapphirepaddle.edge import reader_role\n'
+        'reader_role.ReaderRole.replace_unanswered_calls = lambda self: None\n'
+        'reader_role.ReaderRole.readers_ahead = lambda self: []',
+    ),
+    Mutation(
+        'edge: bodies of answers share a memory budget',
+        'edge.test_endless_answers.TestOthersMeanwhile.test_memory_is_bounded',
+        'from sapphirepaddle.proxy import body_memory\n'
+        'body_memory.BodyMemoryBudget.try_extend = (\n'
+        '    lambda self, held_size, size: True\n'
+        ')',
+    ),
     Mutation(
         'edge: configuration versions never decrease',
         'edge.test_daemon.TestConfiguration',
@@ -296,7 +324,8 @@
         'edge: lost readers are replaced',
         'edge.test_reader_role.TestReaderRole.test_lost_readers_are_replaced',
         'from sapphirepaddle.peers import fleet\n'
-        'fleet.MAX_READER_SILENCE_SECONDS = 1e9',
+        'fleet.MAX_READER_SILENCE_SECONDS = 1e9\n'
+        'fleet.REMOVAL_TIMEOUT_SECONDS = 1e9',
     ),
     Mutation(
         'edge: a digest received out of order adds nothing',
