Count only the target's time against the deadline of a streamed body

A caller of paddle-entry that read a large answer slowly lost its rest: 4 of 20 MB arrived, as the limit that ends endless bodies counted the time for which the caller did not read as well. The time between two chunks now counts only while the client waits for the target; that test and tests.gateway.test_endless_answers pass.

--- a/sapphirepaddle/gateway/target_client.py
+++ b/sapphirepaddle/gateway/target_client.py
@@ -295,16 +295,20 @@
 ) -> abc.AsyncGenerator[bytes, None]:
     """Yield the buffered bytes, then the rest of the body.
 
-    Closing this generator before its end closes the connection.
+    The time for which the caller does not read does not count against the
+    deadline. Closing this generator before its end closes the connection.
 
     Raises:
         AttemptFailedError: If the body ends before its declared length or is
             not complete at the deadline.
     """
+    loop = asyncio.get_running_loop()
     async with contextlib.aclosing(chunks):
         chunk: bytes | None = buffered
         while chunk is not None:
+            passed_on_at = loop.time()
             yield chunk
+            deadline += loop.time() - passed_on_at
             chunk = await next_chunk(chunks, deadline)
 
 
