Check the truth of each refusal in the tests of endless answers

The check was wrong to reject it, and did not look whether it was true. Now an order that the target received must end with 502 or 504, and one that it did not with 503 or 504.

--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -113,45 +113,63 @@
     They must neither use up the memory of the daemon nor its time.
     """
 
-    def check_failures(self, replies: list[edge_daemon_case.Reply]) -> None:
-        """Check that the answers only say that there is no answer."""
-        self.assertLessEqual({reply.status for reply in replies}, {502, 504})
+    def check_failures(
+        self,
+        target: endless_target.EndlessTarget,
+        replies: dict[str, edge_daemon_case.Reply],
+    ) -> None:
+        """Check that the answers tell the truth about each order.
+
+        An order that the target never got may be refused as not run.
+        """
+        received = {
+            endless_target.identifier_of(head).decode()
+            for head in target.request_heads
+        }
+        for identifier, reply in replies.items():
+            if identifier in received:
+                self.assertIn(reply.status, {502, 504})
+            else:
+                self.assertIn(reply.status, {503, 504})
+
+    async def send_orders(
+        self, identifiers: list[str]
+    ) -> dict[str, edge_daemon_case.Reply]:
+        """Send orders at the same time; return the replies."""
+        replies = await asyncio.gather(*map(self.order, identifiers))
+        return dict(zip(identifiers, replies, strict=True))
 
     async def test_reads_are_served_meanwhile(self) -> None:
         for kind in endless_target.ENDLESS_ANSWERS:
             with self.subTest(kind):
-                await self.start_endless(kind)
-                orders = [
-                    asyncio.create_task(self.order(f'{kind}-{number}'))
-                    for number in range(4)
-                ]
+                target = await self.start_endless(kind)
+                orders = asyncio.create_task(
+                    self.send_orders([f'o{number}' for number in range(4)])
+                )
                 reads = [await self.read(f'r{number}') for number in range(4)]
                 self.assertEqual([reply.status for reply in reads], [200] * 4)
-                replies = await asyncio.gather(*orders)
-                self.check_failures(replies)
+                self.check_failures(target, await orders)
 
     async def test_memory_is_bounded(self) -> None:
         self.assertGreater(
             CALLERS * http_message.MAX_BODY_BYTES, 4 * MEMORY_BYTES
         )
-        await self.start_endless('body without length')
+        target = await self.start_endless('body without length')
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
-        replies = await asyncio.gather(
-            *(self.order(f'm{number}') for number in range(CALLERS))
-        )
+        replies = await self.send_orders([f'm{n}' for n in range(CALLERS)])
         _, peak = tracemalloc.get_traced_memory()
-        self.check_failures(replies)
+        self.check_failures(target, replies)
         self.assertLess(peak, MEMORY_BYTES)
         self.assertEqual((await self.read('after')).status, 200)
         memory = self.daemon.components.attempt_runner.answer_memory
         self.assertEqual(memory.reserved_bytes, 0)
 
     async def test_small_pieces_take_no_more_memory(self) -> None:
-        await self.start_endless('chunks of one byte')
+        target = await self.start_endless('chunks of one byte')
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
-        reply = await self.order('pieces')
+        replies = await self.send_orders(['pieces'])
         _, peak = tracemalloc.get_traced_memory()
-        self.check_failures([reply])
+        self.check_failures(target, replies)
         self.assertLess(peak, MEMORY_BYTES)
