Count leased tokens up to their report and their expiry

An account of paddle-entry could get up to its burst more than its quota in a window.

- Settled before, tokens that a daemon spent just before its request were taken for spent at the last update, so the time since then accrued tokens in their place: with rate 6 and burst 1, a second token at the moment of the report.
- Settled after, or after an expiry that another daemon's request brought about, the report of an expired lease was deducted from a newer one, which then was not counted although its tokens were unspent.
- A lease that expired between two updates did not count for the time before its expiry either.

A request for tokens now carries what was spent, and the shard handles both: it accrues with all leases up to their expiry, then settles, expired leases first, as a report has all tokens spent since the last one. Tokens are granted from what had accrued before.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -225,7 +225,8 @@
     shards = {}
     for number in range(size):
         shard = quota_shard.QuotaShard(1, 10, 0)
-        shard.lease('vm-1', 1, 0.2, 10)
+        request = quota_shard.LeaseRequest('vm-1', 1)
+        shard.lease(request, 0.2, 10)
         shards[owner.ShardKey(f'account-{number}', number % 64)] = shard
     return shards
 
@@ -367,7 +368,8 @@
     def lease() -> None:
         now = clock.monotonic()
         quota_owner.last_tick_at = now
-        quota_owner.lease('vm-2', key, 1, 1, now)
+        request = quota_shard.LeaseRequest('vm-2', 1, 1)
+        quota_owner.lease(request, key, now)
 
     detector = outlier_detector.OutlierDetector('vm-1', entry.RoutingSettings())
     healthy = ejection_state.EjectionState(
--- a/sapphirepaddle/limits/owner.py
+++ b/sapphirepaddle/limits/owner.py
@@ -133,19 +133,15 @@
 
     def lease(
         self,
-        borrower: str,
+        request: quota_shard.LeaseRequest,
         key: ShardKey,
-        requested: float,
-        spent: float,
         now: float,
     ) -> quota_shard.Grant | None:
         """Lease tokens of a shard.
 
         Args:
-            borrower: Name of the requesting VM.
+            request: The request of the borrowing VM.
             key: The shard.
-            requested: Number of tokens requested.
-            spent: Tokens of earlier leases that the borrower spent.
             now: Seconds on the monotonic clock.
 
         Returns:
@@ -159,9 +155,8 @@
         if key.partition not in split.partitions:
             return None
         shard = self.get_shard(key, split, now)
-        shard.record_spent(borrower, spent)
         lease_seconds = self.settings.lease_seconds * LEASE_MARGIN_FACTOR
-        return shard.lease(borrower, requested, lease_seconds, now)
+        return shard.lease(request, lease_seconds, now)
 
     def get_split(
         self,
--- a/sapphirepaddle/limits/quota_limiter.py
+++ b/sapphirepaddle/limits/quota_limiter.py
@@ -11,7 +11,12 @@
 
 from sapphirepaddle import clock, codes, errors
 from sapphirepaddle.gateway import limiter
-from sapphirepaddle.limits import leased_tokens, owner, quota_split
+from sapphirepaddle.limits import (
+    leased_tokens,
+    owner,
+    quota_shard,
+    quota_split,
+)
 from sapphirepaddle.objects import client_account
 from sapphirepaddle.peers import mesh, messages
 from sapphirepaddle.settings import entry
@@ -96,10 +101,8 @@
     ) -> messages.TokenGrant:
         """Lease tokens to a peer."""
         grant = self.owner.lease(
-            sender,
+            quota_shard.LeaseRequest(sender, request.wanted, request.spent),
             owner.ShardKey(request.account, request.partition),
-            request.wanted,
-            request.spent,
             clock.monotonic(),
         )
         if grant is None:
@@ -144,10 +147,10 @@
     ) -> None:
         """Lease a token from a shard that this VM owns."""
         grant = self.owner.lease(
-            self.owner.vm,
+            quota_shard.LeaseRequest(
+                self.owner.vm, 1, state.tokens.pop_spent(partition)
+            ),
             owner.ShardKey(state.account.name, partition),
-            1,
-            state.tokens.pop_spent(partition),
             now,
         )
         if grant is not None:
--- a/sapphirepaddle/limits/quota_shard.py
+++ b/sapphirepaddle/limits/quota_shard.py
@@ -25,6 +25,21 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRequest:
+    """A request for tokens.
+
+    Attributes:
+        borrower: Name of the borrowing VM.
+        requested: Number of tokens requested.
+        spent: Tokens that the borrower has spent since its last request.
+    """
+
+    borrower: str
+    requested: float
+    spent: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
     """The result of a token request.
@@ -48,6 +63,8 @@
         available: Tokens that can be leased.
         updated_at: Time up to which tokens have been accrued.
         leases: Leases by borrowing VM, oldest first.
+        expired_amounts: Tokens of expired leases that may still be reported
+            as spent, by borrowing VM.
     """
 
     def __init__(self, rate: float, burst: float, accrues_from: float) -> None:
@@ -63,6 +80,9 @@
         self.available: float = 0
         self.updated_at = accrues_from
         self.leases: dict[str, collections.deque[Lease]] = {}
+        self.expired_amounts: collections.defaultdict[str, float] = (
+            collections.defaultdict(float)
+        )
 
     def configure(self, rate: float, burst: float, now: float) -> None:
         """Change rate and burst; time before the change uses the old rate."""
@@ -74,21 +94,39 @@
         self.accrue(now)
 
     def accrue(self, now: float) -> None:
-        """Accrue tokens up to now, limited by the burst."""
-        self.expire_leases(now)
-        if now > self.updated_at:
-            self.available += (now - self.updated_at) * self.rate
-            self.updated_at = now
-        capacity = max(0, self.burst - self.leased())
-        self.available = min(self.available, capacity)
-
-    def expire_leases(self, now: float) -> None:
-        """Remove expired leases; their tokens count as spent."""
+        """Accrue tokens up to now, limited by the burst.
+
+        A lease counts up to the moment at which it expires, as its tokens may
+        be spent until then.
+        """
+        leased = self.leased()
+        for expires_at, amount in self.expire_leases(now):
+            self.accrue_until(expires_at, self.burst - leased)
+            leased -= amount
+        self.accrue_until(now, self.burst - leased)
+
+    def accrue_until(self, end: float, capacity: float) -> None:
+        """Accrue tokens up to a time, limited by a constant capacity."""
+        if end > self.updated_at:
+            self.available += (end - self.updated_at) * self.rate
+            self.updated_at = end
+        self.available = min(self.available, max(0, capacity))
+
+    def expire_leases(self, now: float) -> list[tuple[float, float]]:
+        """Remove expired leases; their tokens count as spent.
+
+        Returns:
+            Expiry time and amount of each, in order of expiry.
+        """
+        expired = []
         for borrower, leases in list(self.leases.items()):
             while leases and leases[0].expires_at <= now:
-                leases.popleft()
+                lease = leases.popleft()
+                expired.append((lease.expires_at, lease.amount))
+                self.expired_amounts[borrower] += lease.amount
             if not leases:
                 self.leases.pop(borrower)
+        return sorted(expired)
 
     def leased(self) -> float:
         """Return the number of leased tokens."""
@@ -97,7 +135,12 @@
         )
 
     def record_spent(self, borrower: str, spent: float) -> None:
-        """Subtract spent tokens from a borrower's leases, oldest first."""
+        """Subtract spent tokens from a borrower's leases, oldest first.
+
+        A report contains all tokens that the borrower has spent since the
+        last one, so those of leases that have expired here come first.
+        """
+        spent -= min(spent, self.expired_amounts.pop(borrower, 0))
         leases = self.leases.get(borrower)
         while leases and spent > 0:
             deducted = min(spent, leases[0].amount)
@@ -108,27 +151,31 @@
 
     def lease(
         self,
-        borrower: str,
-        requested: float,
+        request: LeaseRequest,
         lease_seconds: float,
         now: float,
     ) -> Grant:
         """Lease whole tokens to a daemon.
 
         Fractions are not leased, as they could not be spent before they
-        expire.
+        expire. Reported tokens make room from now on: when they were spent is
+        unknown, so they counted as leased until now.
 
         Args:
-            borrower: Name of the borrowing VM.
-            requested: Number of tokens requested.
+            request: The request of the borrowing VM.
             lease_seconds: Seconds until the lease expires at the owner.
             now: Seconds on the monotonic clock.
         """
         self.accrue(now)
-        amount = math.floor(min(requested, self.available) + TOKEN_EPSILON)
+        self.record_spent(request.borrower, request.spent)
+        amount = math.floor(
+            min(request.requested, self.available) + TOKEN_EPSILON
+        )
         if amount > 0:
             self.available = max(0, self.available - amount)
-            leases = self.leases.setdefault(borrower, collections.deque())
+            leases = self.leases.setdefault(
+                request.borrower, collections.deque()
+            )
             leases.append(Lease(amount, now + lease_seconds))
         missing = 0 if amount else max(0, 1 - self.available)
         return Grant(amount, missing / self.rate)
--- a/tests/limits/test_owner.py
+++ b/tests/limits/test_owner.py
@@ -2,10 +2,16 @@
 
 import unittest
 
-from sapphirepaddle.limits import owner, ownership, quota_split
+from sapphirepaddle.limits import (
+    owner,
+    ownership,
+    quota_shard,
+    quota_split,
+)
 from sapphirepaddle.objects import client_account
 from sapphirepaddle.settings import entry
 
+REQUEST = quota_shard.LeaseRequest('vm2', 1)
 ACCOUNT = client_account.ClientAccount(name='a', rate=10, burst=100)
 
 
@@ -30,7 +36,7 @@
 
     def lease(self, now: float) -> float | None:
         """Request one token for another VM; return the amount granted."""
-        grant = self.quota_owner.lease('vm2', self.key, 1, 0, now)
+        grant = self.quota_owner.lease(REQUEST, self.key, now)
         return None if grant is None else grant.amount
 
     def run_until(self, start: float, end: float) -> None:
@@ -81,7 +87,7 @@
         """An account that is not configured gets no tokens."""
         self.run_until(100, 102)
         key = owner.ShardKey('other', self.key.partition)
-        self.assertIsNone(self.quota_owner.lease('vm2', key, 1, 0, 102))
+        self.assertIsNone(self.quota_owner.lease(REQUEST, key, 102))
 
 
 class TestPause(QuotaOwnerTestCase):
--- a/tests/limits/test_quota_shard.py
+++ b/tests/limits/test_quota_shard.py
@@ -30,6 +30,17 @@
     or not at all; accounts then exceed their quota or do not get it.
     """
 
+    @hypothesis.example(
+        [
+            (0.0, 1, 1, True, 0),
+            (0.0, 0, 1, False, 0),
+            (0.0, 0, 1, False, 0),
+            (0.25, 1, 1, True, 0),
+            (0.1875, 0, 1, True, 1),
+        ],
+        6.0,
+        1,
+    )
     @hypothesis.given(
         operation_lists,
         strategies.floats(0.5, 20),
@@ -61,12 +72,10 @@
             borrower_tokens = tokens_by_daemon[daemon_index]
             spent = borrower_tokens.pop_spent(0) if is_delivered else 0
             grant = shard.lease(
-                f'vm{daemon_index}',
-                requested,
+                quota_shard.LeaseRequest(f'vm{daemon_index}', requested, spent),
                 LEASE_SECONDS * LEASE_MARGIN_FACTOR,
                 now,
             )
-            shard.record_spent(f'vm{daemon_index}', spent)
             if is_delivered:
                 borrower_tokens.add(0, grant.amount, now + LEASE_SECONDS)
             for number in range(4):
@@ -88,7 +97,9 @@
         tokens.add(
             0,
             shard.lease(
-                'vm', 4, LEASE_SECONDS * LEASE_MARGIN_FACTOR, now
+                quota_shard.LeaseRequest('vm', 4),
+                LEASE_SECONDS * LEASE_MARGIN_FACTOR,
+                now,
             ).amount,
             now + LEASE_SECONDS,
         )
@@ -96,7 +107,9 @@
         tokens.add(
             0,
             shard.lease(
-                'vm', 4, LEASE_SECONDS * LEASE_MARGIN_FACTOR, now
+                quota_shard.LeaseRequest('vm', 4),
+                LEASE_SECONDS * LEASE_MARGIN_FACTOR,
+                now,
             ).amount,
             now + LEASE_SECONDS,
         )
@@ -105,6 +118,24 @@
             admitted += 1
         self.assertLessEqual(admitted, 4)
 
+    def test_spent_tokens_make_room_only_from_their_report(self) -> None:
+        """A token spent just before its report must not be replaced at once."""
+        shard = quota_shard.QuotaShard(6, 1, 0)
+        shard.lease(quota_shard.LeaseRequest('vm', 1), 0.24, 100)
+        request = quota_shard.LeaseRequest('vm', 1, spent=1)
+        self.assertEqual(shard.lease(request, 0.24, 100.19).amount, 0)
+        later_request = quota_shard.LeaseRequest('vm', 1)
+        self.assertEqual(shard.lease(later_request, 0.24, 100.36).amount, 1)
+
+    def test_late_report_does_not_free_a_newer_lease(self) -> None:
+        """A lease must stay counted if an expired one is reported late."""
+        shard = quota_shard.QuotaShard(6, 2, 0)
+        shard.lease(quota_shard.LeaseRequest('vm', 1), 0.24, 100)
+        shard.lease(quota_shard.LeaseRequest('vm', 1), 0.24, 100.2)
+        shard.accrue(100.25)
+        shard.lease(quota_shard.LeaseRequest('vm', 0, spent=1), 0.24, 100.25)
+        self.assertEqual(shard.leased(), 1)
+
     def test_full_rate_is_served(self) -> None:
         """A daemon that requests tokens continuously gets the full rate."""
         shard = quota_shard.QuotaShard(10, 5, 0)
@@ -114,9 +145,10 @@
         for _ in range(1000):
             now += 0.01
             grant = shard.lease(
-                'vm', 1, LEASE_SECONDS * LEASE_MARGIN_FACTOR, now
+                quota_shard.LeaseRequest('vm', 1, spent),
+                LEASE_SECONDS * LEASE_MARGIN_FACTOR,
+                now,
             )
-            shard.record_spent('vm', spent)
             spent = grant.amount
             total_granted += grant.amount
         self.assertGreaterEqual(total_granted, 10 * 10 - 1)
