--- a/tests/limits/test_quota_shard.py
+++ b/tests/limits/test_quota_shard.py
@@ -136,6 +136,13 @@
         shard.lease(quota_shard.LeaseRequest('vm', 0, spent=1), 0.24, 100.25)
         self.assertEqual(shard.leased(), 1)
 
+    def test_lease_counts_until_its_expiry(self) -> None:
+        """A token that expired unspent must not be replaced for the past."""
+        shard = quota_shard.QuotaShard(6, 1, 0)
+        shard.lease(quota_shard.LeaseRequest('vm', 1), 0.24, 100)
+        request = quota_shard.LeaseRequest('other', 1)
+        self.assertEqual(shard.lease(request, 0.24, 100.25).amount, 0)
+
     def test_full_rate_is_served(self) -> None:
         """A daemon that requests tokens continuously gets the full rate."""
         shard = quota_shard.QuotaShard(10, 5, 0)
