Reserve the ports of test programs between processes

Three workers run proofs at the same time, with daemons on the same loopback addresses; a port was probed, released and bound by its program seconds later, so two workers could draw the same one. Traced by reading, not seen again.

--- a/sapphirepaddle/standins/processes.py
+++ b/sapphirepaddle/standins/processes.py
@@ -22,7 +22,8 @@
 )
 PORT_RANGE: typing.Final = (10000, 32000)
 
-returned_addresses: set[tuple[str, int]] = set()
+guards: list[socket.socket] = []
+"""Sockets that reserve addresses for the programs of this process."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,26 +129,34 @@
 
 
 def free_port(host: str) -> int:
-    """Return a free TCP port that was not returned before.
+    """Return a free TCP port and reserve it for a program of this process.
 
     The port lies below the system's range of ephemeral ports, so that no
     outgoing connection can take it before the program listens.
     """
     while True:
         port = random.randrange(*PORT_RANGE)
-        if (host, port) not in returned_addresses and is_free(host, port):
-            returned_addresses.add((host, port))
+        if reserve(host, port):
             return port
 
 
-def is_free(host: str, port: int) -> bool:
-    """Return whether an address can be bound."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
+def reserve(host: str, port: int) -> bool:
+    """Reserve an address until this process ends.
+
+    The address is bound without listening. Programs that allow the reuse of
+    addresses can listen on it; another call, also in another process, fails.
+
+    Returns:
+        Whether the address was free.
+    """
+    guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        guard.bind((host, port))
+    except OSError:
+        guard.close()
+        return False
+    guard.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    guards.append(guard)
     return True
 
 
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the standins package."""
