Judge an outage of the store by the answers that daemons had

Callers were refused (`no-target`) or sent to the few targets that had registered again, at all daemons at once, when the store returned from an outage in which it answered nobody and the entries of targets expired.

Cause: a target whose entry is gone is kept for 2.3 s after an outage, as its entry may return. Whether there was an outage was judged by what each daemon noticed. A daemon whose watch is open all the while notices nothing, so it removed all targets as soon as the store sent their expiry; one that noticed the outage took it for its own partition, as most peers reported an unbroken contact.

Change: daemons report their last answer and since when no gap between their answers was longer than 3.5 s; the union of these times shows when nobody had an answer. The evidence no longer depends on what a daemon noticed, and one daemon with answers shows that there was no outage, where most of the daemons were needed before. The field fits into padding of a digest, whose length is unchanged.

Ruled out: a longer gap would miss outages in which entries expire (3 to 4.5 s), a shorter one would take the replacement of lost readers for an outage and keep targets that have left.

Tests: test_targets_that_lapsed_in_an_unnoticed_outage_are_kept failed before (all eight daemons removed the target). tests.peers.test_outage_evidence has the cases of before with the new interface: `local if most peers had contact` became `local if a peer had answers`, and test_fleet's test of the same followed; both now also reject contact without answers, which they accepted. Mutations updated and one added; those of the reader role and the target list fail as they must.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -61,10 +61,10 @@
             outage; None while the source answers.
         contact_since: Monotonic time of the first answer since the last
             outage; None before the first answer.
-        answered_at: Monotonic time of its last answer; None before the first.
         available: Event that is set while the source answers.
         outage_prober: Another watcher of the same source that alone probes it
             during an outage; None to probe it here.
+        on_answer: Called at each answer, before its content is applied.
         on_lost: Called when the source stops answering.
         on_recovered: Called when the source answers again after an outage.
         has_listed: Whether a full list was read.
@@ -93,10 +93,10 @@
         self.consecutive_failures = 0
         self.unavailable_since: float | None = None
         self.contact_since: float | None = None
-        self.answered_at: float | None = None
         self.available = asyncio.Event()
         self.outage_prober: ObjectWatcher | None = None
         self.is_reader: abc.Callable[[], bool] = always_reader
+        self.on_answer: abc.Callable[[], None] = ignore_contact_change
         self.on_lost: abc.Callable[[], None] = ignore_contact_change
         self.on_recovered: abc.Callable[[], None] = ignore_contact_change
         self.has_listed = False
@@ -222,7 +222,7 @@
     def handle_success(self) -> None:
         """Record that the source answered."""
         now = clock.monotonic()
-        self.answered_at = now
+        self.on_answer()
         if self.contact_since is None or self.unavailable_since is not None:
             self.contact_since = now
         if self.unavailable_since is not None:
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -1,7 +1,6 @@
 """Keeps configuration and targets up to date, from the source or from peers."""
 
 import asyncio
-import math
 import random
 import typing
 
@@ -43,6 +42,7 @@
         platform: Access to the platform.
         directory: Configuration and targets to update.
         count_exchange: Provides the fleet and the newest version of peers.
+        outage_evidence: Tells when the source returned from an outage.
         configuration_watcher: Watches the configuration.
         target_watcher: Watches the registrations.
         target_list: Applies registrations to the directory.
@@ -80,17 +80,17 @@
             self.apply_target_changes,
         )
         self.configuration_watcher.outage_prober = self.target_watcher
-        outage_evidence = exchange.fleet.outage_evidence
+        self.outage_evidence = exchange.fleet.outage_evidence
         self.target_watcher.reader_watch_seconds = (
             object_watcher.READER_WATCH_SECONDS
         )
-        self.target_watcher.on_lost = self.handle_loss
+        self.target_watcher.on_answer = self.outage_evidence.record_answer
         self.target_watcher.on_recovered = self.handle_recovery
         exchange.read_contact_ages = self.contact_ages
         self.target_list = target_list.TargetList(
             target_directory,
             platform.decode_target,
-            outage_evidence.source_returned_at,
+            self.outage_evidence.source_returned_at,
         )
         exchange.read_targets_fingerprint = self.targets_fingerprint
         self.reader_role = reader_role.ReaderRole(
@@ -98,6 +98,7 @@
             self.configuration_watcher,
             exchange,
         )
+        self.target_watcher.on_lost = self.reader_role.retry_mismatches
         self.raw_configuration: source.Content = {}
         self.raw_targets: dict[str, source.Content] = {}
         self.snapshot_exchange = snapshot_exchange.SnapshotExchange(
@@ -107,13 +108,8 @@
         self.behind_since: float | None = None
         self.logger = logs.get_logger('knowledge')
 
-    def handle_loss(self) -> None:
-        """Record that the source stopped answering."""
-        self.count_exchange.fleet.outage_evidence.record_loss()
-        self.reader_role.retry_mismatches()
-
     def handle_recovery(self) -> None:
-        """Record that the source answers again, and log what peers report.
+        """Pass on that the source answers again, and log when it returned.
 
         Other daemons of the zone rely on a reader for the recovery, and the
         configuration watcher on the target watcher.
@@ -121,37 +117,24 @@
         self.configuration_watcher.refresh()
         if self.reader_role.is_reader():
             self.count_exchange.request_immediate_send()
-        outage_evidence = self.count_exchange.fleet.outage_evidence
-        outage_evidence.record_recovery()
-        returned_at = outage_evidence.source_returned_at()
+        returned_at = self.outage_evidence.source_returned_at()
+        lost_at = self.target_watcher.unavailable_since
         self.logger.info(
             'outage ended',
-            is_local=outage_evidence.is_local(),
-            peers_answered=len(outage_evidence.first_answers),
+            is_local=lost_at is not None and returned_at <= lost_at,
             returned=round(
                 min(clock.monotonic() - returned_at, MAX_LOGGED_SECONDS), 2
             ),
         )
 
-    def contact_ages(self) -> tuple[int, int]:
-        """Return the ages of the contact, in the form that digests have."""
+    def contact_ages(self) -> contact.ContactAges:
+        """Return the ages of the contact with the source."""
         watcher = self.target_watcher
-        if (
-            watcher.unavailable_since is not None
-            or watcher.contact_since is None
-            or watcher.answered_at is None
-        ):
-            return 0, digest.MAX_AGE_TENTHS
-        now = clock.monotonic()
-        contact_age = int(
-            (now - watcher.contact_since) * contact.TENTHS_PER_SECOND
-        )
-        answer_age = math.ceil(
-            (now - watcher.answered_at) * contact.TENTHS_PER_SECOND
-        )
-        return (
-            min(max(contact_age, 1), digest.MAX_AGE_TENTHS),
-            min(answer_age, digest.MAX_AGE_TENTHS),
+        is_available = watcher.unavailable_since is None
+        return contact.to_ages(
+            clock.monotonic(),
+            watcher.contact_since if is_available else None,
+            self.outage_evidence.local.newest,
         )
 
     def targets_fingerprint(self) -> int:
--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -9,6 +9,7 @@
 from sapphirepaddle.directory import directory
 from sapphirepaddle.limits import account_quotas
 from sapphirepaddle.peers import (
+    contact,
     datagrams,
     digest,
     digest_bundler,
@@ -51,8 +52,7 @@
         introduction_exchange: Introduces this daemon to others.
         digest_receiver: Applies the digests of other daemons.
         is_leaving: Whether this daemon is shutting down.
-        read_contact_ages: Returns the ages of the contact with the source and
-            of its last answer, as `digest.Digest` has them.
+        read_contact_ages: Returns the ages of the contact with the source.
         read_targets_fingerprint: Returns the fingerprint of the
             registrations that this daemon knows.
     """
@@ -81,8 +81,8 @@
             target_directory, quotas, peer_fleet
         )
         self.is_leaving = False
-        self.read_contact_ages: abc.Callable[[], tuple[int, int]] = (
-            longest_contact_ages
+        self.read_contact_ages: abc.Callable[[], contact.ContactAges] = (
+            long_contact
         )
         self.read_targets_fingerprint: abc.Callable[[], int] = empty_fingerprint
 
@@ -229,7 +229,7 @@
             is_forwarded: Whether the receiver forwards the digest within its
                 zone.
         """
-        contact_age, answer_age = self.read_contact_ages()
+        ages = self.read_contact_ages()
         return digest.Digest(
             sender=digest.hash_name(self.fleet.local_member.name),
             start=self.fleet.local_member.incarnation
@@ -237,8 +237,9 @@
             is_forwarded=is_forwarded,
             is_leaving=self.is_leaving,
             version=self.directory.version,
-            contact_age=contact_age,
-            answer_age=answer_age,
+            contact_age=ages.contact,
+            verified_age=ages.verified,
+            answer_age=ages.answer,
             targets_mark=self.read_targets_fingerprint(),
             targets=tuple(self.drain_target_counts(changes.targets)),
             accounts=tuple(self.drain_account_counts(changes.accounts)),
@@ -324,6 +325,6 @@
     return 0
 
 
-def longest_contact_ages() -> tuple[int, int]:
-    """Return the ages of a contact that is long and was answered long ago."""
-    return digest.MAX_AGE_TENTHS, digest.MAX_AGE_TENTHS
+def long_contact() -> contact.ContactAges:
+    """Return the ages of a long contact whose answers are not known."""
+    return contact.LONG_CONTACT
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -33,6 +33,7 @@
   contactAge @8 :UInt16;
   targetsMark @9 :UInt32;
   answerAge @10 :UInt16;
+  verifiedAge @11 :UInt16;
 }
 
 struct Hello {
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -66,6 +66,9 @@
         version: Configuration version that the daemon has in force.
         contact_age: Tenths of a second since when the daemon has had contact
             with the source, from 1 to MAX_AGE_TENTHS; 0 while it has none.
+        verified_age: Tenths of a second since the first answer of its newest
+            run of answers (see `answer_runs.AnswerRuns`), rounded up; at most
+            MAX_AGE_TENTHS.
         answer_age: Tenths of a second since the source last answered it,
             rounded up; at most MAX_AGE_TENTHS.
         targets_mark: Fingerprint of the registrations that the daemon
@@ -81,6 +84,7 @@
     is_leaving: bool = False
     version: int = 0
     contact_age: int = MAX_AGE_TENTHS
+    verified_age: int = MAX_AGE_TENTHS
     answer_age: int = MAX_AGE_TENTHS
     targets_mark: int = 0
     targets: tuple[TargetCount, ...] = ()
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -83,6 +83,7 @@
         is_leaving=reader.isLeaving,
         version=reader.version,
         contact_age=reader.contactAge,
+        verified_age=reader.verifiedAge,
         answer_age=reader.answerAge,
         targets_mark=reader.targetsMark,
         targets=tuple(
--- a/sapphirepaddle/peers/digest_receiver.py
+++ b/sapphirepaddle/peers/digest_receiver.py
@@ -6,7 +6,7 @@
 from sapphirepaddle import clock
 from sapphirepaddle.directory import directory
 from sapphirepaddle.limits import account_quotas
-from sapphirepaddle.peers import digest, fleet, peer_totals
+from sapphirepaddle.peers import contact, digest, fleet, peer_totals
 from sapphirepaddle.routing import candidate
 
 INCARNATION_MODULUS: typing.Final = 0x100000000
@@ -63,8 +63,9 @@
             self.fleet.remove(body.sender, 'leaving')
         self.fleet.record_message(
             body.sender,
-            body.contact_age,
-            body.answer_age,
+            contact.ContactAges(
+                body.contact_age, body.verified_age, body.answer_age
+            ),
             body.targets_mark,
         )
         totals = self.peer_totals.get(body.sender)
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -45,7 +45,7 @@
         self.member = fleet_member
         self.last_received_at = now
         self.contact = contact.Contact(
-            reported_at=-math.inf, since=now, answered_at=-math.inf
+            since=now, verified_since=-math.inf, answered_at=-math.inf
         )
         self.targets_fingerprint = 0
 
@@ -61,7 +61,7 @@
             elapsed_fleet_time().
         local_time_counted_at: Monotonic time up to which this daemon's own
             part is included in it.
-        outage_evidence: Evidence from the peers' contacts with the source.
+        outage_evidence: Evidence from all daemons about outages of the source.
         rng: Random number generator for the choice of peers.
         logger: Logs daemons that join and leave.
     """
@@ -73,9 +73,7 @@
         self.last_received_at = clock.monotonic()
         self.elapsed_fleet_seconds: float = 0
         self.local_time_counted_at = self.last_received_at
-        self.outage_evidence = outage_evidence.OutageEvidence(
-            self.peer_contacts
-        )
+        self.outage_evidence = outage_evidence.OutageEvidence()
         self.rng = random.Random()
         self.logger = logs.get_logger('fleet')
 
@@ -118,17 +116,14 @@
     def record_message(
         self,
         name_hash: int,
-        contact_age: int = digest.MAX_AGE_TENTHS,
-        answer_age: int = digest.MAX_AGE_TENTHS,
+        ages: contact.ContactAges = contact.LONG_CONTACT,
         targets_fingerprint: int = 0,
     ) -> None:
         """Record that a message of a daemon was received.
 
         Args:
             name_hash: Hash of the daemon's name.
-            contact_age: Age of its contact with the source; see
-                `digest.Digest`.
-            answer_age: Age of the source's last answer to it.
+            ages: Ages of its contact with the source.
             targets_fingerprint: Fingerprint of the registrations it knows.
         """
         self.last_received_at = clock.monotonic()
@@ -138,10 +133,8 @@
             if silence <= IN_TOUCH_TIMEOUT_SECONDS:
                 self.elapsed_fleet_seconds += silence / self.size
             peer.last_received_at = self.last_received_at
-            peer.contact = contact.from_ages(
-                self.last_received_at, contact_age, answer_age
-            )
-            self.outage_evidence.record_report(name_hash, peer.contact)
+            peer.contact = contact.from_ages(self.last_received_at, ages)
+            self.outage_evidence.record_report(peer.contact)
             peer.targets_fingerprint = targets_fingerprint
 
     def remove_silent(self) -> None:
@@ -208,10 +201,6 @@
         hashes.append(digest.hash_name(self.local_member.name))
         return sorted(hashes)[-READERS_PER_ZONE:]
 
-    def peer_contacts(self) -> abc.Iterator[contact.Contact]:
-        """Iterate over the contacts of the peers with the source."""
-        return (peer.contact for peer in self.peers.values())
-
     def same_zone_hosts(self) -> list[str]:
         """Return the hosts of the other daemons in the same zone."""
         return [
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -2,10 +2,15 @@
 
 from unittest import mock
 
+from sapphirepaddle import clock
 from sapphirepaddle.directory import object_watcher, source
 from sapphirepaddle.edge import daemon
+from sapphirepaddle.peers import answer_runs
 from tests.support import edge_daemon_case, platform_objects
 
+REPORT_DELAY_SECONDS = 1
+"""Most by which reports of answers may be dated too late."""
+
 
 class TestReaderRole(edge_daemon_case.EdgeDaemonCase):
     """Four daemons of a zone whose stale calls see no change.
@@ -123,6 +128,73 @@
         await self.drain()
         await self.wait_until_all_drain()
 
+    async def test_targets_that_lapsed_in_an_unnoticed_outage_are_kept(
+        self,
+    ) -> None:
+        # Watches that are open all the while notice no outage.
+        for number in range(5, 9):
+            await self.start_daemon(number)
+        self.source.stale_revision = None
+        await self.add_target('t-3', 'reads')
+        await self.wait_until(self.are_watches_open)
+        self.source.is_silent = True
+        await self.wait_until(self.has_source_been_away)
+        kept_entry = self.source.objects['servers']['t-1']
+        removals = self.spy_on_removals()
+        self.source.is_silent = False
+        for name in list(self.source.objects['servers']):
+            await self.source.apply_change('servers', source.Entry(name, None))
+        await self.source.apply_change(
+            'servers', source.Entry('t-1', kept_entry)
+        )
+        await self.wait_until(
+            lambda: all(
+                edge_daemon.components.directory.target_names() == {'t-1'}
+                for edge_daemon in self.daemons
+            ),
+        )
+        removed = [
+            call.args for removal in removals for call in removal.mock_calls
+        ]
+        self.assertNotIn('t-1', [name for name, _ in removed], removed)
+
+    def spy_on_removals(self) -> list[mock.Mock]:
+        """Return the mocks that record removals of targets by each daemon."""
+        directories = [
+            edge_daemon.components.directory for edge_daemon in self.daemons
+        ]
+        return [
+            self.enterContext(
+                mock.patch.object(
+                    daemon_directory,
+                    'remove_target',
+                    wraps=daemon_directory.remove_target,
+                )
+            )
+            for daemon_directory in directories
+        ]
+
+    def are_watches_open(self) -> bool:
+        """Return whether all daemons wait for changes after the last one."""
+        watchers = [
+            edge_daemon.components.synchronizer.target_watcher
+            for edge_daemon in self.daemons
+        ]
+        return all(
+            watcher.revision == self.source.revision
+            and watcher.watch_timeout is not None
+            for watcher in watchers
+        )
+
+    def has_source_been_away(self) -> bool:
+        """Return whether no daemon had an answer for a long time."""
+        answered_at = max(
+            edge_daemon.components.synchronizer.outage_evidence.local.newest.end
+            for edge_daemon in self.daemons
+        )
+        silent_seconds = clock.monotonic() - answered_at - REPORT_DELAY_SECONDS
+        return silent_seconds > answer_runs.MAX_ANSWER_GAP_SECONDS
+
     async def test_configuration_comes_into_force(self) -> None:
         await self.configure(platform_objects.configuration(3))
         await self.wait_until(
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -227,11 +227,21 @@
         'from sapphirepaddle.edge import state_synchronizer\n'
         'from sapphirepaddle.peers import outage_evidence\n'
         'outage_evidence.OutageEvidence.record_report = (\n'
-        '    lambda self, name_hash, peer_contact: None\n'
+        '    lambda self, peer_contact: None\n'
         ')\n'
         'async def fetch(self, readers):\n    pass\n'
         'state_synchronizer.StateSynchronizer.fetch_from_reader = fetch',
     ),
+    Mutation(
+        'edge: entries that lapsed in an outage may return',
+        'edge.test_reader_role.TestReaderRole.'
+        'test_targets_that_lapsed_in_an_unnoticed_outage_are_kept',
+        'import math\n'
+        'from sapphirepaddle.peers import outage_evidence\n'
+        'outage_evidence.OutageEvidence.source_returned_at = (\n'
+        '    lambda self: -math.inf\n'
+        ')',
+    ),
     Mutation(
         'edge: calls older than the recovery of a reader are replaced',
         'edge.test_reader_role.TestReaderRole.'
--- a/tests/peers/test_fleet.py
+++ b/tests/peers/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of an account quota over a connected and a partitioned fleet."""
 
+import math
+
 from sapphirepaddle.directory import account, member
-from sapphirepaddle.peers import digest, fleet
+from sapphirepaddle.peers import contact, digest, fleet
 from sapphirepaddle.settings import edge
 from tests.support import pooling_case
 
@@ -64,18 +66,21 @@
             self.send_round()
         self.assertEqual(self.daemons[0].fleet.in_touch_ratio(), 0.75)
 
-    def test_outage_is_shared_if_most_lost_the_source(self) -> None:
-        """Two of three peers lost the source, then all peers are silent."""
+    def test_answers_to_one_peer_show_that_there_was_no_outage(self) -> None:
+        """All daemons but one lost the source, then that one as well."""
         evidence = self.daemons[0].fleet.outage_evidence
-        evidence.record_loss()
+        for daemon in self.daemons[1:]:
+            daemon.read_contact_ages = lambda: contact.ContactAges(0, 200, 90)
+        self.now += 10
         self.send_round()
-        self.assertTrue(evidence.is_local())
-        for daemon in self.daemons[1:3]:
-            daemon.read_contact_ages = lambda: (5, 5)
+        self.assertEqual(evidence.source_returned_at(), math.inf)
+        self.daemons[1].read_contact_ages = lambda: contact.ContactAges(
+            200, 200, 5
+        )
         self.send_round()
-        self.assertFalse(evidence.is_local())
+        self.assertEqual(evidence.source_returned_at(), -math.inf)
         self.now += 10
-        self.assertFalse(evidence.is_local())
+        self.assertEqual(evidence.source_returned_at(), math.inf)
 
     def test_planned_stop_removes_member(self) -> None:
         """A leaving daemon must not be waited for until it times out."""
--- a/tests/peers/test_outage_evidence.py
+++ b/tests/peers/test_outage_evidence.py
@@ -1,94 +1,111 @@
-"""Tests of the evidence from peers about an outage of the source."""
+"""Tests of the evidence from all daemons about an outage of the source."""
 
 import math
 import unittest
 from unittest import mock
 
 from sapphirepaddle import clock
-from sapphirepaddle.peers import contact, outage_evidence
+from sapphirepaddle.peers import answer_runs, contact, outage_evidence
 
+STARTED_AT = 50.0
 LOST_AT = 100.0
 
 
 class TestOutageEvidence(unittest.TestCase):
-    """A daemon lost contact at 100 s; its peers report their contacts.
+    """A daemon had its last answer at 100 s; its peers report theirs.
 
     A late estimate keeps targets that have left, an early one removes targets
     whose entries only lapsed in the outage.
     """
 
     def setUp(self) -> None:
-        """Lose contact with the source."""
-        self.now = LOST_AT
+        """Start a daemon and answer it until 100 s."""
+        self.now = STARTED_AT
         patch = mock.patch.object(clock, 'monotonic', lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
-        self.contacts: dict[int, contact.Contact] = {}
-        self.evidence = outage_evidence.OutageEvidence(self.contacts.values)
-        self.evidence.record_loss()
+        self.evidence = outage_evidence.OutageEvidence()
+        while self.now < LOST_AT:
+            self.answer(self.now + 1)
+
+    def answer(self, now: float) -> None:
+        """Let the source answer this daemon."""
+        self.now = now
+        self.evidence.record_answer()
 
     def report(
-        self, peer: int, now: float, since: float | None, answered_at: float
+        self, now: float, verified_since: float, answered_at: float
     ) -> None:
         """Receive the report of a peer."""
         self.now = now
-        self.contacts[peer] = contact.Contact(now, since, answered_at)
-        self.evidence.record_report(peer, self.contacts[peer])
+        self.evidence.record_report(
+            contact.Contact(None, verified_since, answered_at)
+        )
+
+    def assert_no_outage(self) -> None:
+        """Check that removals need no grace period."""
+        self.assertEqual(self.evidence.source_returned_at(), -math.inf)
+
+    def test_no_outage_while_the_source_answers(self) -> None:
+        self.assert_no_outage()
 
     def test_nothing_is_known_before_any_answer(self) -> None:
-        self.report(1, 101, None, 99)
+        self.report(105, 60, 99)
         self.assertEqual(self.evidence.source_returned_at(), math.inf)
 
     def test_own_recovery_without_peers(self) -> None:
-        self.now = 105
-        self.evidence.record_recovery()
+        self.answer(105)
         self.assertEqual(self.evidence.source_returned_at(), 105)
 
-    def test_peers_that_recovered_earlier_date_the_return(self) -> None:
-        self.report(1, 106, 104, 105)
-        self.report(2, 106, 103, 105)
-        self.now = 107
-        self.evidence.record_recovery()
-        self.assertEqual(self.evidence.source_returned_at(), 103)
-
-    def test_recovery_before_the_loss_dates_nothing(self) -> None:
-        self.report(1, 101, 99, 99.5)
-        self.report(2, 101, None, 99.5)
-        self.assertEqual(self.evidence.source_returned_at(), math.inf)
+    def test_outage_that_no_daemon_noticed(self) -> None:
+        # Peers whose calls were pending have a contact without answers.
+        for answered_at in (99, 99.5, 100):
+            self.report(108, 60, answered_at)
+        self.answer(108)
+        self.assertEqual(self.evidence.source_returned_at(), 108)
 
-    def test_outage_is_local_if_most_peers_had_contact(self) -> None:
-        for peer in (1, 2):
-            self.report(peer, 101, 50, 90)
-        self.report(3, 101, None, 90)
-        self.assertEqual(self.evidence.source_returned_at(), -math.inf)
+    def test_peers_that_recovered_earlier_date_the_return(self) -> None:
+        self.report(106, 104, 105)
+        self.report(106, 105, 105)
+        self.answer(107)
+        self.assertEqual(self.evidence.source_returned_at(), 104)
 
-    def test_one_peer_with_an_answer_suffices(self) -> None:
-        for now in (102, 110):
-            self.report(1, now, 50, now - 1)
-            for peer in (2, 3, 4):
-                self.report(peer, now, None, 90)
-        self.assertEqual(self.evidence.source_returned_at(), 101)
-
-    def test_answer_before_the_loss_of_a_peer_does_not_count(self) -> None:
-        for peer in (2, 3):
-            self.report(peer, 101, None, 99)
-        self.report(1, 101, 50, 100.5)
-        self.report(1, 103, None, 101)
+    def test_answers_before_the_loss_date_nothing(self) -> None:
+        self.report(104, 99, 99.5)
         self.assertEqual(self.evidence.source_returned_at(), math.inf)
 
-    def test_short_loss_of_a_peer_between_reports(self) -> None:
-        self.report(1, 101, 50, 100.5)
-        self.report(1, 103, 102.8, 102.9)
-        self.assertEqual(self.evidence.source_returned_at(), 102.8)
-
-    def test_next_loss_starts_anew(self) -> None:
-        self.report(1, 103, 102, 102)
-        self.evidence.record_recovery()
-        self.now = 110
-        self.evidence.record_loss()
+    def test_outage_is_local_if_a_peer_had_answers(self) -> None:
+        self.report(109, 95, 108)
+        for _ in range(3):
+            self.report(109, 95, 99)
+        self.answer(110)
+        self.assert_no_outage()
+
+    def test_peers_that_replace_each_other_have_answers(self) -> None:
+        for answered_at in range(102, 110, 3):
+            self.report(answered_at + 1, answered_at, answered_at)
+        self.answer(110)
+        self.assert_no_outage()
+
+    def test_late_report_shows_that_there_was_no_outage(self) -> None:
+        self.answer(107)
+        self.report(108, 60, 107)
+        self.assert_no_outage()
+
+    def test_later_loss_of_a_peer_does_not_count(self) -> None:
+        self.report(103, 60, 101)
+        self.now = 103 + answer_runs.MAX_ANSWER_GAP_SECONDS
         self.assertEqual(self.evidence.source_returned_at(), math.inf)
 
-    def test_silent_peers_do_not_make_an_outage_local(self) -> None:
-        self.report(1, 101, 50, 90)
-        self.now = 101 + outage_evidence.RECENT_REPORT_SECONDS + 0.1
+    def test_next_outage_starts_anew(self) -> None:
+        self.answer(107)
+        self.now = 112
         self.assertEqual(self.evidence.source_returned_at(), math.inf)
+        self.answer(114)
+        self.assertEqual(self.evidence.source_returned_at(), 114)
+
+    def test_start_in_an_outage(self) -> None:
+        self.now = 200
+        self.evidence = outage_evidence.OutageEvidence()
+        self.answer(201 + answer_runs.MAX_ANSWER_GAP_SECONDS)
+        self.assertEqual(self.evidence.source_returned_at(), self.now)
