Fail a health probe whose answer does not end

A target in trouble that answered its health probe with bytes without end passed for healthy at `paddle-entry`, if its head was valid and it sent 256 KB within the timeout of the probe: the client hands a large body on as a stream, and the prober read only the status. The stream was never read; its connection was closed only because the unused generator was collected.

Change: a request may say that it accepts no streamed body, and probes do. A large body is then a fault, and the client closes the connection as after any other.

Ruled out: the other kinds of endless answers were failures of the probe already. Answers to another request are no evidence about the target, as before, since they may be late ones; their connection is closed.

Test: tests.fleet.test_prober failed before for `body with a huge length` (no result was recorded instead of UNREACHABLE). `paddle-edge` has no probes and does not use this client.

--- a/sapphirepaddle/fleet/prober.py
+++ b/sapphirepaddle/fleet/prober.py
@@ -77,6 +77,7 @@
             self.settings.probe_timeout_seconds,
             attempt.Attempt(f'{self.dispatcher.identifier_prefix}-probe'),
         )
+        request.accepts_stream = False
         client = self.dispatcher.get_client(view, queue.pool.service)
         try:
             reply = await client.send(request)
--- a/sapphirepaddle/gateway/target_client.py
+++ b/sapphirepaddle/gateway/target_client.py
@@ -144,6 +144,8 @@
             target_answer.body = response.body
         else:
             await read_body(response.read_chunks(), target_answer, deadline)
+        if target_answer.stream is not None and not request.accepts_stream:
+            raise AttemptFailedError(Fault.BROKEN, 'body too large')
         return target_answer
 
     def check_answer(
@@ -191,6 +193,8 @@
         body: The complete body or a stream of it.
         timeout_seconds: Time limit of the attempt.
         attempt: State of the attempt, updated while it runs.
+        accepts_stream: Whether a large body may be streamed; if not, it is a
+            fault.
     """
 
     def __init__(
@@ -209,6 +213,7 @@
         self.body = body
         self.timeout_seconds = timeout_seconds
         self.attempt = current_attempt
+        self.accepts_stream = True
 
 
 def outgoing_body(request: OutgoingRequest) -> Body | None:
