Test that a lost report of admissions is repeated (fails)

Zone a was partitioned while daemons of other zones used the burst; they were in debt afterwards and admitted nothing, so that the lost totals were not sent again, while their later digests advanced the fleet time of zone a, whose buckets refilled in full.

--- a/tests/peers/test_fleet.py
+++ b/tests/peers/test_fleet.py
@@ -32,6 +32,16 @@
         self.assertLessEqual(sum(admitted) + 30, 50 + 20)
         self.assertEqual(self.admit(3, 30), 0)
 
+    def test_lost_report_of_the_last_admissions_is_repeated(self) -> None:
+        """Callers that stop before the report is repeated must still count."""
+        self.network.is_lossy = True
+        self.assertEqual(self.admit(1, 30), 30)
+        self.send_round()
+        self.network.is_lossy = False
+        for _ in range(4):
+            self.send_round()
+        self.assertEqual(self.admit(0, 30), 20)
+
     def test_recently_started_daemons_count_in_full(self) -> None:
         """First totals of older daemons may lie outside the quota window."""
         daemon = self.daemons[0]
