--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -258,6 +258,14 @@
         '    lambda self, held_size, size: True\n'
         ')',
     ),
+    Mutation(
+        'health probes accept no streamed body',
+        'fleet.test_prober.TestEndlessProbeAnswers.test_fast_sender',
+        'from sapphirepaddle.gateway import target_client\n'
+        'target_client.OutgoingRequest.accepts_stream = property(\n'
+        '    lambda self: True, lambda self, accepts: None\n'
+        ')',
+    ),
     Mutation(
         'edge: configuration versions never decrease',
         'edge.test_daemon.TestConfiguration',
