Report admissions again until their tokens are refilled

Cause: a digest contained the totals that changed since the last one. If the digest with the last admissions was lost in a partition, and the daemon then admitted nothing as it was in debt, the totals were not sent again, while its later digests advanced the fleet time of the others and so refilled their buckets.

Ruled out: repeating only counts that may use up the burst (the planned fix). It costs fewer bytes, but the unreported rest of several zones adds up to half a burst of an account, which no tolerance covers if the burst is large. Retries: a service with traffic sends its totals with each request, so that a lost report is made good by the next request of the daemon; not changed.

--- a/sapphirepaddle/limits/account_quotas.py
+++ b/sapphirepaddle/limits/account_quotas.py
@@ -42,6 +42,8 @@
         rate_tolerance: Fraction of the rate that is admitted on top of it.
         burst_tolerance: Requests that are admitted on top of the burst.
         buckets: Buckets by account name.
+        used_accounts: Names of accounts with local admissions whose bucket
+            has not been full since.
         read_fleet_time: Returns the fleet time in seconds.
         read_reachable_share: Returns the fraction of the fleet's daemons in
             contact with this one, itself included.
@@ -60,6 +62,7 @@
         self.rate_tolerance = bounds.quota_excess * TOLERANCE_RATIO
         self.burst_tolerance = bounds.quota_slack * TOLERANCE_RATIO
         self.buckets: dict[str, fleet_bucket.FleetBucket] = {}
+        self.used_accounts: set[str] = set()
         self.read_fleet_time = read_fleet_time
         self.read_reachable_share = read_reachable_share
         self.on_admitted = on_admitted
@@ -99,6 +102,7 @@
         reachable_share = self.read_reachable_share()
         is_admitted = bucket.admit(self.read_fleet_time(), reachable_share)
         if is_admitted and bucket.rate:
+            self.used_accounts.add(name)
             self.on_admitted(name)
         return Admission(
             is_admitted, bucket.tokens, reachable_share, bucket.wait_seconds()
@@ -113,3 +117,13 @@
         if bucket is not None:
             bucket.refill(self.read_fleet_time())
             bucket.record_peer_admissions(count)
+
+    def read_used_accounts(self) -> set[str]:
+        """Update and return the names of the used accounts."""
+        fleet_time = self.read_fleet_time()
+        for name in tuple(self.used_accounts):
+            bucket = self.buckets[name]
+            bucket.refill(fleet_time)
+            if bucket.is_full():
+                self.used_accounts.remove(name)
+        return self.used_accounts
--- a/sapphirepaddle/limits/fleet_bucket.py
+++ b/sapphirepaddle/limits/fleet_bucket.py
@@ -85,6 +85,10 @@
         """
         self.tokens = max(self.tokens - count, -self.burst - self.rate)
 
+    def is_full(self) -> bool:
+        """Return whether all used tokens were refilled, or none counts."""
+        return not self.rate or self.tokens >= self.burst
+
     def used_share(self) -> float:
         """Return the used fraction of the burst; above 1 in debt."""
         if not self.burst:
--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -264,8 +264,20 @@
         self,
         names: unsent_changes.OrderedNames,
     ) -> abc.Iterator[digest.AccountCount]:
-        """Remove names of accounts and yield their current counts."""
-        for name in unsent_changes.pop_first(names):
+        """Remove names of accounts and yield their current counts.
+
+        A digest advances the fleet time of its receivers, which refills their
+        buckets. As earlier digests may have been lost, the counts of accounts
+        whose bucket is not full are sent again.
+        """
+        changed_names = unsent_changes.pop_first(names)
+        repeated_names = sorted(
+            self.quotas.read_used_accounts() - set(changed_names)
+        )
+        free_count = unsent_changes.MAX_COUNTS_PER_KIND - len(changed_names)
+        if len(repeated_names) > free_count:
+            repeated_names = self.fleet.rng.sample(repeated_names, free_count)
+        for name in (*changed_names, *repeated_names):
             admitted = self.quotas.buckets[name].admitted
             yield digest.AccountCount(
                 digest.hash_name(name),
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -355,6 +355,13 @@
         '    return (total - previous) % 65536\n'
         'peer_totals.PeerTotals.record_total = record_total',
     ),
+    Mutation(
+        'edge: admissions are reported again until they are refilled',
+        'peers.test_fleet.TestQuota.'
+        'test_lost_report_of_the_last_admissions_is_repeated',
+        'from sapphirepaddle.limits import account_quotas\n'
+        'account_quotas.AccountQuotas.read_used_accounts = lambda self: set()',
+    ),
 )
 
 
--- a/tests/peers/test_count_exchange.py
+++ b/tests/peers/test_count_exchange.py
@@ -1,7 +1,7 @@
 """Tests of the exchange of counts between daemons."""
 
 from sapphirepaddle.directory import account
-from sapphirepaddle.peers import count_exchange, digest
+from sapphirepaddle.peers import count_exchange, digest, unsent_changes
 from tests.support import pooling_case
 
 
@@ -172,3 +172,48 @@
         self.daemons[0].quotas.configure([unlimited])
         self.assertTrue(self.daemons[0].quotas.admit('free').is_admitted)
         self.assertEqual(self.daemons[0].same_zone_changes.accounts, {})
+
+
+class TestRepeatedCounts(pooling_case.PoolingCase):
+    """Admissions are reported again until their tokens were refilled.
+
+    A digest that follows a lost one would otherwise refill the buckets of its
+    receivers by tokens that were used. Repeated forever, the counts of many
+    accounts would not fit into a datagram.
+    """
+
+    def limited(self, name: str, rate: float) -> account.Account:
+        """Return an account with a burst of five requests."""
+        return account.Account(
+            name=name, keys=frozenset(), priority=None, rate=rate, burst=5
+        )
+
+    def reported_accounts(self) -> list[int]:
+        """Return the accounts in a digest of the first daemon."""
+        body = self.daemons[0].build_digest(self.daemons[0].same_zone_changes)
+        return [count.account for count in body.accounts]
+
+    def test_counts_are_repeated_until_the_bucket_is_full(self) -> None:
+        """A second at the rate refills what one request used."""
+        self.daemons[0].quotas.configure([self.limited('slow', rate=1)])
+        self.daemons[0].quotas.admit('slow')
+        slow = [digest.hash_name('slow')]
+        self.assertEqual(self.reported_accounts(), slow)
+        self.assertEqual(self.reported_accounts(), slow)
+        self.daemons[0].fleet.elapsed_fleet_seconds += 3
+        self.assertEqual(self.reported_accounts(), [])
+
+    def test_repeated_counts_leave_room_for_changes(self) -> None:
+        """A changed count must not wait until others are refilled."""
+        room = unsent_changes.MAX_COUNTS_PER_KIND
+        names = [f'account-{number}' for number in range(2 * room)]
+        quotas = self.daemons[0].quotas
+        quotas.configure([self.limited(name, rate=0.001) for name in names])
+        for name in names:
+            quotas.admit(name)
+        for _ in range(3):
+            self.assertEqual(len(set(self.reported_accounts())), room)
+        quotas.admit(names[0])
+        accounts = self.reported_accounts()
+        self.assertEqual(accounts[0], digest.hash_name(names[0]))
+        self.assertEqual(len(set(accounts)), room)
