Revisit targets of other zones earlier if these have few callers

Cause: a target that is idle is first left to the daemons of its own zone, for 1.5 s more, as good results are reported to other zones only so often. Daemons that have few requests cannot revisit all targets of their zone in that time.

Change: daemons estimate from the reported counts at which rate the daemons of another zone send to its targets. Below one request per second and target the additional idle time shrinks in proportion; without reports it is nothing.

--- a/sapphirepaddle/peers/digest_receiver.py
+++ b/sapphirepaddle/peers/digest_receiver.py
@@ -115,6 +115,7 @@
         bad = totals.record_total('b', count.target, count.bad, now)
         if target is None:
             return
+        self.record_zone_requests(sender, target, good + bad, now)
         for _ in range(min(good, MAX_RESULTS_PER_COUNT)):
             target.record_result(is_good=True, now=now)
         for _ in range(min(bad, MAX_RESULTS_PER_COUNT)):
@@ -125,6 +126,21 @@
             count.running, now
         )
 
+    def record_zone_requests(
+        self,
+        sender: int,
+        target: candidate.Candidate,
+        count: int,
+        now: float,
+    ) -> None:
+        """Record the requests of a daemon to a target of its own zone."""
+        peer = self.fleet.peers.get(sender)
+        zone = target.registration.zone
+        if peer is not None and peer.member.zone == zone:
+            self.directory.service_targets(
+                target.registration.service
+            ).record_zone_requests(zone, count, now)
+
     def apply_service_count(
         self,
         totals: peer_totals.PeerTotals,
--- a/sapphirepaddle/routing/candidate.py
+++ b/sapphirepaddle/routing/candidate.py
@@ -33,9 +33,6 @@
 
 Each daemon draws from this range, so that not all of them send at the same
 time. The upper end keeps most healthy targets in use in every two seconds."""
-OTHER_ZONE_REVISIT_SECONDS: typing.Final = 1.5
-"""Additional idle time for targets of other zones. The daemons of those zones
-send to them first, and report good results only at intervals."""
 TRUSTED_FAULT_PROBABILITY: typing.Final = 0.15
 """Highest fault probability at which a target is trusted."""
 SUSPECT_REVISIT_FACTOR: typing.Final = 10.0
@@ -116,9 +113,14 @@
         self.last_used_at = now
         self.revisit_seconds = random.uniform(*REVISIT_SECONDS)
 
-    def overdue_seconds(self, now: float, is_other_zone: bool) -> float:
+    def overdue_seconds(self, now: float, extra_idle_seconds: float) -> float:
         """Return the time for which a request has been due.
 
+        Args:
+            now: Monotonic time.
+            extra_idle_seconds: Idle time in which daemons that are nearer to
+                the target may send to it first.
+
         Returns:
             Seconds; at most 0 while none is due, because the target was used
             recently or its fault probability lengthens the revisit time.
@@ -131,12 +133,7 @@
         delay = self.revisit_seconds * (
             1 + excess_probability * SUSPECT_REVISIT_FACTOR
         )
-        return (
-            now
-            - self.last_used_at
-            - delay
-            - OTHER_ZONE_REVISIT_SECONDS * is_other_zone
-        )
+        return now - self.last_used_at - delay - extra_idle_seconds
 
     def record_path_fault(self, now: float) -> None:
         """Record a missing answer, possibly caused by the network path."""
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from sapphirepaddle.directory import registration
-from sapphirepaddle.routing import candidate, cost_weights
+from sapphirepaddle.routing import candidate, cost_weights, request_rate
 
 COST_NOISE: typing.Final = 0.02
 """Range of the random part of a cost, which breaks ties."""
@@ -20,6 +20,12 @@
 SUSPECT_FAILURE_PROBABILITY: typing.Final = 0.25
 """Failure probability of the best sampled target from which all targets are
 compared. It is above that of a target without results."""
+OTHER_ZONE_REVISIT_SECONDS: typing.Final = 1.5
+"""Additional idle time for targets of other zones. The daemons of those zones
+send to them first, and report good results only at intervals."""
+FULL_COVERAGE_RATE: typing.Final = 1.0
+"""Requests per second and target with which the daemons of a zone revisit its
+targets by themselves."""
 WARMUP_FACTOR: typing.Final = 2.0
 """Factor of the answer time while a target warms up after its start."""
 
@@ -33,6 +39,8 @@
         candidates: Targets by name.
         typical_seconds: Moving average of the answer time; 0 before the
             first answer.
+        zone_rates: Rate at which the daemons of another zone send requests to
+            the targets of that zone, by zone.
     """
 
     def __init__(self, zone: str, rng: random.Random) -> None:
@@ -41,6 +49,7 @@
         self.rng = rng
         self.candidates: dict[str, candidate.Candidate] = {}
         self.typical_seconds: float = 0
+        self.zone_rates: dict[str, request_rate.RequestRate] = {}
 
     def apply_registration(
         self, target_registration: registration.Registration, now: float
@@ -125,7 +134,7 @@
 
     def most_overdue(
         self,
-        targets: abc.Iterable[candidate.Candidate],
+        targets: abc.Sequence[candidate.Candidate],
         now: float,
     ) -> candidate.Candidate | None:
         """Return the target that is overdue longest, if one is due.
@@ -133,10 +142,19 @@
         With this the fleet keeps all targets in use that may be healthy,
         puts few requests at risk and soon detects which have recovered.
         """
+        zones = {target.registration.zone for target in targets}
+        extra_seconds = {
+            zone: self.extra_idle_seconds(zone, now) for zone in zones
+        }
         due = [
             (overdue, target)
             for target in targets
-            if (overdue := self.overdue_seconds(target, now)) > 0
+            if (
+                overdue := target.overdue_seconds(
+                    now, extra_seconds[target.registration.zone]
+                )
+            )
+            > 0
         ]
         if not due:
             return None
@@ -144,9 +162,31 @@
 
     def overdue_seconds(self, target: candidate.Candidate, now: float) -> float:
         """Return for how many seconds a request has been due at a target."""
-        return target.overdue_seconds(
-            now, target.registration.zone != self.zone
+        zone = target.registration.zone
+        return target.overdue_seconds(now, self.extra_idle_seconds(zone, now))
+
+    def extra_idle_seconds(self, zone: str, now: float) -> float:
+        """Return the idle time that targets of a zone are left to its daemons.
+
+        The fewer requests the daemons of another zone have for its targets,
+        the shorter it is: they cannot revisit all of them.
+        """
+        if zone == self.zone or zone not in self.zone_rates:
+            return 0
+        target_count = sum(
+            target.registration.zone == zone
+            and not target.registration.is_draining
+            for target in self.candidates.values()
         )
+        full_rate = max(1, target_count) * FULL_COVERAGE_RATE
+        coverage = min(1, self.zone_rates[zone].read(now) / full_rate)
+        return OTHER_ZONE_REVISIT_SECONDS * coverage
+
+    def record_zone_requests(self, zone: str, count: int, now: float) -> None:
+        """Record requests of daemons of a zone to targets of that zone."""
+        if zone not in self.zone_rates:
+            self.zone_rates[zone] = request_rate.RequestRate(now)
+        self.zone_rates[zone].record(count, now)
 
     def lowest_cost(
         self,
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -362,6 +362,14 @@
         'from sapphirepaddle.limits import account_quotas\n'
         'account_quotas.AccountQuotas.read_used_accounts = lambda self: set()',
     ),
+    Mutation(
+        'edge: targets of zones with few callers are revisited by others',
+        'peers.test_coverage.TestCoverage.test_callers_of_one_zone',
+        'from sapphirepaddle.routing import service_targets as targets\n'
+        'targets.ServiceTargets.extra_idle_seconds = (\n'
+        '    lambda self, zone, now: (zone != self.zone) *\n'
+        '    targets.OTHER_ZONE_REVISIT_SECONDS)',
+    ),
 )
 
 
--- a/tests/routing/test_service_targets.py
+++ b/tests/routing/test_service_targets.py
@@ -183,6 +183,7 @@
             self.targets.apply_registration(registered(name, zone), 100)
             self.find_candidate(name).record_answer(is_good=True, now=100)
         self.find_candidate('two').record_request(self.now)
+        self.targets.record_zone_requests('b', 100, self.now)
 
     def find_candidate(self, name: str) -> candidate.Candidate:
         """Return the candidate of a target."""
@@ -210,11 +211,27 @@
     def test_other_zone_is_due_later(self) -> None:
         self.find_candidate('one').record_request(self.now)
         self.assertNotEqual(self.choose(), 'far')
-        self.now += 2 * candidate.OTHER_ZONE_REVISIT_SECONDS
+        self.now += 2 * service_targets.OTHER_ZONE_REVISIT_SECONDS
         for name in ('one', 'two'):
             self.find_candidate(name).record_request(self.now)
         self.assertEqual(self.choose(), 'far')
 
+    def test_other_zone_without_callers_is_due_at_once(self) -> None:
+        self.find_candidate('one').record_request(self.now)
+        self.targets.zone_rates.clear()
+        self.assertEqual(self.choose(), 'far')
+
+    def test_other_zone_is_due_earlier_with_few_requests(self) -> None:
+        self.targets.apply_registration(
+            registered('leaving', 'b', is_draining=True), 100
+        )
+        self.targets.zone_rates.clear()
+        self.targets.record_zone_requests('b', 3, self.now)
+        self.assertEqual(
+            self.targets.extra_idle_seconds('b', self.now),
+            service_targets.OTHER_ZONE_REVISIT_SECONDS / 2,
+        )
+
     def test_draining_target_is_not_selected(self) -> None:
         self.targets.apply_registration(
             registered('one', is_draining=True), 100
