Repeat unchanged admissions once per second, not in each digest

The counts are now sent again once per second to each part of the fleet. A lost report is made good within a second or two, about the time that reports of other zones take anyway.

Tests: test_counts_are_repeated_at_intervals failed before; the accounts of the test have a larger burst, as daemons that are silent for a second keep a part of it for others.

--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -35,6 +35,8 @@
 """Longest time without a datagram to peers in the same zone."""
 OTHER_ZONE_HEARTBEAT_SECONDS: typing.Final = 2.0
 """Longest time without a datagram to other zones."""
+REPEAT_SECONDS: typing.Final = 1.0
+"""Interval at which the counts of used accounts are sent again."""
 
 
 class CountExchange:
@@ -242,7 +244,7 @@
             answer_age=ages.answer,
             targets_mark=self.read_targets_fingerprint(),
             targets=tuple(self.drain_target_counts(changes.targets)),
-            accounts=tuple(self.drain_account_counts(changes.accounts)),
+            accounts=tuple(self.drain_account_counts(changes)),
             services=tuple(self.drain_service_counts(changes.services)),
         )
 
@@ -261,29 +263,34 @@
                 )
 
     def drain_account_counts(
-        self,
-        names: unsent_changes.OrderedNames,
+        self, changes: unsent_changes.UnsentChanges
     ) -> abc.Iterator[digest.AccountCount]:
         """Remove names of accounts and yield their current counts.
 
         A digest advances the fleet time of its receivers, which refills their
         buckets. As earlier digests may have been lost, the counts of accounts
-        whose bucket is not full are sent again.
+        whose bucket is not full are sent again at intervals.
         """
-        changed_names = unsent_changes.pop_first(names)
-        repeated_names = sorted(
-            self.quotas.read_used_accounts() - set(changed_names)
-        )
-        free_count = unsent_changes.MAX_COUNTS_PER_KIND - len(changed_names)
-        if len(repeated_names) > free_count:
-            repeated_names = self.fleet.rng.sample(repeated_names, free_count)
-        for name in (*changed_names, *repeated_names):
+        names = unsent_changes.pop_first(changes.accounts)
+        now = clock.monotonic()
+        if now - changes.repeated_at >= REPEAT_SECONDS:
+            changes.repeated_at = now
+            names.extend(self.select_repeated_accounts(names))
+        for name in names:
             admitted = self.quotas.buckets[name].admitted
             yield digest.AccountCount(
                 digest.hash_name(name),
                 admitted % peer_totals.COUNT_MODULUS,
             )
 
+    def select_repeated_accounts(self, changed_names: list[str]) -> list[str]:
+        """Return used accounts that fit into a digest beside changed ones."""
+        names = sorted(self.quotas.read_used_accounts() - set(changed_names))
+        free_count = unsent_changes.MAX_COUNTS_PER_KIND - len(changed_names)
+        if len(names) > free_count:
+            return self.fleet.rng.sample(names, free_count)
+        return names
+
     def drain_service_counts(
         self,
         names: unsent_changes.OrderedNames,
--- a/sapphirepaddle/peers/unsent_changes.py
+++ b/sapphirepaddle/peers/unsent_changes.py
@@ -21,6 +21,8 @@
         use_short_interval: Whether other daemons may soon make wrong
             decisions without these changes.
         last_sent_at: Monotonic time of the last datagram; 0 before the first.
+        repeated_at: Monotonic time at which unchanged counts were last sent
+            again.
     """
 
     def __init__(self) -> None:
@@ -31,6 +33,7 @@
         self.must_send_immediately = False
         self.use_short_interval = False
         self.last_sent_at: float = 0
+        self.repeated_at: float = 0
 
     def is_due(
         self, now: float, batch_seconds: float, heartbeat_seconds: float
--- a/tests/peers/test_count_exchange.py
+++ b/tests/peers/test_count_exchange.py
@@ -183,13 +183,14 @@
     """
 
     def limited(self, name: str, rate: float) -> account.Account:
-        """Return an account with a burst of five requests."""
+        """Return an account with a burst of 50 requests."""
         return account.Account(
-            name=name, keys=frozenset(), priority=None, rate=rate, burst=5
+            name=name, keys=frozenset(), priority=None, rate=rate, burst=50
         )
 
     def reported_accounts(self) -> list[int]:
-        """Return the accounts in a digest of the first daemon."""
+        """Return the accounts in the next digest that repeats counts."""
+        self.now += count_exchange.REPEAT_SECONDS
         body = self.daemons[0].build_digest(self.daemons[0].same_zone_changes)
         return [count.account for count in body.accounts]
 
@@ -203,6 +204,13 @@
         self.daemons[0].fleet.elapsed_fleet_seconds += 3
         self.assertEqual(self.reported_accounts(), [])
 
+    def test_counts_are_repeated_at_intervals(self) -> None:
+        """Daemons send up to 20 digests per second to their zone."""
+        self.daemons[0].quotas.admit('first')
+        self.assertEqual(self.reported_accounts(), [digest.hash_name('first')])
+        body = self.daemons[0].build_digest(self.daemons[0].same_zone_changes)
+        self.assertEqual(body.accounts, ())
+
     def test_repeated_counts_leave_room_for_changes(self) -> None:
         """A changed count must not wait until others are refilled."""
         room = unsent_changes.MAX_COUNTS_PER_KIND
