Read the store's lists in spite of entries that cannot be decoded

Cause: a list or an event of the store was decoded as a whole. One entry of another writer that is nested more than 1,024 levels deep, has a number beyond a double, a lone surrogate or bytes that are no UTF-8 made each list fail, so that no daemon read or followed the targets any more.

Ruled out: the decoder of single registrations ends no daemon; its errors were caught.

What cannot be decoded or encoded again counts as a malformed entry under its name. Address, numbers and name of a registration are checked against their ranges.

The parsers are tested by hypothesis with derandomized examples.

--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -1,14 +1,16 @@
 """Client of the platform's object store."""
 
 import typing
+from collections import abc
 from urllib import parse as urls
 
 import orjson
 
 from sapphirepaddle import errors
 from sapphirepaddle.directory import source
-from sapphirepaddle.platform import names
+from sapphirepaddle.platform import names, object_parser
 from sapphirepaddle.proxy import http_client
+from sapphirepaddle.telemetry import logs
 
 MILLISECONDS_PER_SECOND: typing.Final = 1000
 CALL_TIMEOUT_SECONDS: typing.Final = 1.5
@@ -30,12 +32,14 @@
     Attributes:
         http_client: Client that makes the calls.
         calls: Number of calls made.
+        logger: Log of items that have no name.
     """
 
     def __init__(self, client: http_client.HttpClient) -> None:
         """Initialize with an HTTP client for the store's address."""
         self.http_client = client
         self.calls = 0
+        self.logger = logs.get_logger('source')
 
     async def list_all(
         self,
@@ -50,7 +54,9 @@
             answer = await self.call(
                 'GET', path, timeout_seconds=LIST_TIMEOUT_SECONDS
             )
-            page = [read_entry(fields) for fields in answer['items']]
+            page = self.read_entries(
+                answer.get('items') or (), object_parser.read_entry
+            )
             entries.extend(page)
             if not answer.get('truncated') or not page:
                 return source.ReadResult(int(answer['currentRev']), entries)
@@ -75,9 +81,24 @@
         )
         return source.ReadResult(
             int(answer.get('currentRev') or revision),
-            [read_event(event) for event in answer.get('events') or ()],
+            self.read_entries(
+                answer.get('events') or (), object_parser.read_event
+            ),
         )
 
+    def read_entries(
+        self,
+        items: abc.Iterable[object_parser.Fields],
+        read: abc.Callable[[object_parser.Fields], source.Entry | None],
+    ) -> list[source.Entry]:
+        """Return the entries of items; those without a name are logged."""
+        entries = [read(fields) for fields in items]
+        if None in entries:
+            self.logger.warning(
+                'items without a name', count=entries.count(None)
+            )
+        return [entry for entry in entries if entry is not None]
+
     async def put(self, kind: str, entry: source.Entry) -> None:
         """Create an object, or replace it if it exists."""
         body = orjson.dumps(
@@ -132,12 +153,9 @@
         SourceError: If it is not a JSON object.
     """
     try:
-        decoded = orjson.loads(body or b'{}')
+        return object_parser.parse(body)
     except ValueError as error:
-        raise errors.SourceError('answer is not valid JSON') from error
-    if not isinstance(decoded, dict):
-        raise errors.SourceError('answer is not a JSON object')
-    return decoded
+        raise errors.SourceError('answer is not a JSON object') from error
 
 
 def stale_query(is_stale_allowed: bool) -> dict[str, str]:
@@ -157,16 +175,3 @@
     if query:
         path = f'{path}?{urls.urlencode(query)}'
     return path
-
-
-def read_entry(fields: typing.Any) -> source.Entry:
-    """Build an entry from an object of a list."""
-    return source.Entry(fields['metadata']['name'], fields.get('spec') or {})
-
-
-def read_event(fields: typing.Any) -> source.Entry:
-    """Build an entry from an event of a watch."""
-    entry = read_entry(fields['object'])
-    if fields.get('deleted'):
-        return source.Entry(entry.name, None)
-    return entry
--- a/sapphirepaddle/platform/registrations.py
+++ b/sapphirepaddle/platform/registrations.py
@@ -1,5 +1,8 @@
 """Decoding of target registrations and of member entries."""
 
+import ipaddress
+import math
+import re
 import typing
 
 from sapphirepaddle.directory import member, registration
@@ -10,7 +13,16 @@
     (names.STATE_READY, names.STATE_DRAINING)
 )
 MAX_PORT: typing.Final = 65535
-VALID_PORTS: typing.Final = range(1, MAX_PORT + 1)
+PORT: typing.Final = re.compile('[0-9]{1,5}')
+MAX_SLOTS: typing.Final = 65535
+"""Upper bound of the slots of a target. A larger number would make all other
+targets look busy."""
+MAX_INCARNATION: typing.Final = 0x7FFFFFFFFFFFFFFF
+"""Upper bound of a start time: a 64-bit integer."""
+NAME: typing.Final = re.compile('[!-~]{1,255}')
+"""Names that can be sent in a header: visible ASCII characters."""
+MAX_DETAIL_CHARACTERS: typing.Final = 200
+"""Upper bound of the description of an error, which may quote an entry."""
 MALFORMED_ERRORS: typing.Final = (
     LookupError,
     TypeError,
@@ -34,40 +46,57 @@
         return read_target(name, fields)
     except MALFORMED_ERRORS as error:
         detail = f'{type(error).__name__}: {error}'
-        raise EntryError(detail) from error
+        raise EntryError(detail[:MAX_DETAIL_CHARACTERS]) from error
 
 
 def read_target(name: str, fields: Fields) -> registration.Registration:
     """Build a registration; malformed fields raise MALFORMED_ERRORS."""
     info = fields['info']
     status = fields['status']
-    host, _, port = require_text(fields['address']).rpartition(':')
+    host, port = read_address(require_text(fields['address']))
     state = require_text(status['state'])
-    if state not in VALID_STATES or int(port) not in VALID_PORTS:
-        raise EntryError('unknown state or port out of range')
-    check_ipv4_host(host)
+    if state not in VALID_STATES:
+        raise EntryError('unknown state')
+    if not NAME.fullmatch(name):
+        raise EntryError('name does not fit into a header')
     return registration.Registration(
         name=name,
         service=require_text(info['service']),
         host=host,
-        port=int(port),
+        port=port,
         zone=require_text(info['zone']),
-        slots=max(1, require_integer(info['slots'])),
-        incarnation=require_integer(fields['born']),
+        slots=max(1, require_integer(info['slots'], MAX_SLOTS)),
+        incarnation=require_integer(fields['born'], MAX_INCARNATION),
         is_draining=state == names.STATE_DRAINING,
-        warmup_seconds=float(status.get('warmupLeftS') or 0),
+        warmup_seconds=read_seconds(status.get('warmupLeftS')),
     )
 
 
-def check_ipv4_host(host: str) -> None:
-    """Check that a host is a dotted IPv4 address.
+def read_address(address: str) -> tuple[str, int]:
+    """Return the dotted IPv4 address and the port of a target.
 
     Raises:
-        EntryError: If it does not consist of four decimal numbers.
+        EntryError: If the port is out of range.
+        ValueError: If the host is no IPv4 address.
     """
-    octets = host.split('.')
-    if len(octets) != IPV4_OCTET_COUNT or not all(map(str.isdecimal, octets)):
-        raise EntryError('address is not an IPv4 address')
+    host, _, port = address.rpartition(':')
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise EntryError('port out of range')
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
+def read_seconds(field: typing.Any) -> float:
+    """Return a duration in seconds; 0 for an absent one.
+
+    Raises:
+        EntryError: If it is not a finite number.
+    """
+    if field is None:
+        return 0
+    is_number = isinstance(field, int | float) and not isinstance(field, bool)
+    if not is_number or not math.isfinite(field):
+        raise EntryError('expected a finite number')
+    return max(0, field)
 
 
 def require_text(field: typing.Any) -> str:
@@ -81,14 +110,16 @@
     return field
 
 
-def require_integer(field: typing.Any) -> int:
+def require_integer(field: typing.Any, maximum: int) -> int:
     """Return a field that must be an integer and not a boolean.
 
     Raises:
-        EntryError: If it is not.
+        EntryError: If it is not, is negative or exceeds the maximum.
     """
     if isinstance(field, bool) or not isinstance(field, int):
         raise EntryError('expected an integer')
+    if not 0 <= field <= maximum:
+        raise EntryError('integer out of range')
     return field
 
 
@@ -102,11 +133,11 @@
         return member.Member(
             name=name,
             zone=require_text(fields['zone']),
-            host=require_text(fields['host']),
-            incarnation=require_integer(fields['incarnation']),
+            host=str(ipaddress.IPv4Address(require_text(fields['host']))),
+            incarnation=require_integer(fields['incarnation'], MAX_INCARNATION),
         )
     except MALFORMED_ERRORS as error:
-        raise EntryError(str(error)) from error
+        raise EntryError(str(error)[:MAX_DETAIL_CHARACTERS]) from error
 
 
 def encode_member(fleet_member: member.Member) -> Fields:
@@ -116,6 +147,3 @@
         'host': fleet_member.host,
         'incarnation': fleet_member.incarnation,
     }
-
-
-IPV4_OCTET_COUNT: typing.Final = 4
--- /dev/null
+++ b/tests/platform/test_object_parser.py
@@ -0,0 +1,109 @@
+"""Tests of parsing answers of the store that contain odd items."""
+
+import unittest
+
+import hypothesis
+import orjson
+from hypothesis import strategies
+
+from sapphirepaddle.directory import source
+from sapphirepaddle.platform import object_parser, registrations
+from tests.support import odd_entries, platform_objects
+
+VALID = platform_objects.target('reads', 8080)
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda children: (
+        strategies.lists(children)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ('info', 'status', 'address', 'born', 'slots', 'state')
+            ),
+            children,
+        )
+    ),
+    max_leaves=15,
+)
+
+
+def list_body(raw_spec: bytes) -> bytes:
+    """Return a list with an odd item between two valid ones."""
+    items = [
+        {'metadata': {'name': name}, 'spec': spec}
+        for name, spec in (
+            ('t-1', VALID),
+            ('odd', orjson.Fragment(raw_spec)),
+            ('t-2', VALID),
+        )
+    ]
+    return orjson.dumps({'items': items, 'currentRev': 7})
+
+
+class TestOddItems(unittest.TestCase):
+    """An odd item must hide no other, and must name no target."""
+
+    def test_list(self) -> None:
+        for oddity, raw_spec in odd_entries.odd_specs().items():
+            with self.subTest(oddity):
+                decoded = object_parser.parse(list_body(raw_spec))
+                entries = [
+                    object_parser.read_entry(fields)
+                    for fields in decoded['items']
+                ]
+                self.assertEqual(decoded['currentRev'], 7)
+                self.assertEqual(entries[0], source.Entry('t-1', VALID))
+                self.assertEqual(entries[2], source.Entry('t-2', VALID))
+                assert entries[1] is not None
+                with self.assertRaises(registrations.EntryError):
+                    registrations.decode_target('odd', entries[1].content or {})
+
+    def test_event(self) -> None:
+        for oddity, raw_spec in odd_entries.odd_specs().items():
+            with self.subTest(oddity):
+                item = orjson.loads(list_body(b'{}'))['items'][1]
+                item['spec'] = orjson.Fragment(raw_spec)
+                events = [
+                    {'object': item, 'deleted': False},
+                    {'object': item, 'deleted': True},
+                ]
+                body = orjson.dumps({'events': events, 'currentRev': 7})
+                entries = [
+                    object_parser.read_event(fields)
+                    for fields in object_parser.parse(body)['events']
+                ]
+                names = [entry.name if entry else '' for entry in entries]
+                self.assertEqual(names, ['odd', 'odd'])
+                self.assertEqual(entries[1], source.Entry('odd', None))
+
+    def test_items_without_a_name(self) -> None:
+        for item in ({}, {'metadata': None}, {'metadata': {'name': 3}}, []):
+            with self.subTest(item=item):
+                self.assertIsNone(object_parser.read_entry(item))
+
+    def test_body_that_is_no_object(self) -> None:
+        for body in (b'[]', b'{"items": [', b'text', b'\xff'):
+            with self.subTest(body=body), self.assertRaises(ValueError):
+                object_parser.parse(body)
+
+    def test_names_that_do_not_fit_into_a_header(self) -> None:
+        for name in ('', 'a b', 'a\r\nb', 'n' * 5000, 'n\u00e9'):
+            with (
+                self.subTest(name=name),
+                self.assertRaises(registrations.EntryError),
+            ):
+                registrations.decode_target(name, VALID)
+
+    @hypothesis.settings(
+        deadline=None, max_examples=300, derandomize=True, database=None
+    )
+    @hypothesis.given(JSON_VALUES)
+    def test_any_entry_is_decoded_or_rejected(self, content: object) -> None:
+        fields = content if isinstance(content, dict) else {}
+        try:
+            registrations.decode_target('t-1', VALID | fields)
+        except registrations.EntryError as error:
+            self.assertLess(len(str(error)), 300)
