Do not take a refusal without identifier on a reused connection for an answer

Cause: an answer without X-Request-Id was accepted as the answer to the pending request if it said that the request had not run. A target that wrote the refusal of an earlier request once more, on a kept connection, made the daemon answer 503 for an order that the target was running (REFUSED), or send that order to a second target (TWICE).

Ruled out: copies with an identifier, which were skipped; copies that arrive while the connection is idle, which close it.

Change: on a connection that already had an exchange, an answer without identifier that says 'not run' is skipped like a late answer to another request. The answer of the target is then read and passed on; without one the result is 'may have run'.

Result: tests.edge.test_repeated_refusals failed before in two of three tests (503 for an order that ran; 503 in place of 502) and passes now.

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -100,8 +100,11 @@
         The connection returns to the pool after a complete answer and is
         closed otherwise.
         """
-        registration = target.registration
-        outgoing = self.build_request(context, registration.name)
+        outgoing = self.build_request(
+            context,
+            target.registration.name,
+            is_connection_new=not connection.exchange_count,
+        )
         try:
             async with asyncio.timeout(
                 context.remaining_seconds + ANSWER_MARGIN_SECONDS
@@ -119,9 +122,18 @@
         return self.classify_answer(context, target, connection, answer)
 
     def build_request(
-        self, context: request_context.RequestContext, target_name: str
+        self,
+        context: request_context.RequestContext,
+        target_name: str,
+        is_connection_new: bool,
     ) -> http_message.OutgoingRequest:
-        """Return the request in the form that is sent to the target."""
+        """Return the request in the form that is sent to the target.
+
+        Args:
+            context: State of the request.
+            target_name: Name of the target.
+            is_connection_new: Whether no request was sent on its connection.
+        """
         request = context.request
         values_by_name = {
             name.lower(): header_value for name, header_value in request.headers
@@ -151,6 +163,7 @@
                 context.identifier,
                 status,
                 headers,
+                is_connection_new,
             ),
         )
 
@@ -159,16 +172,21 @@
         identifier: str,
         status: int,
         headers: header_codec.Headers,
+        is_connection_new: bool,
     ) -> bool:
         """Return whether an answer belongs to a request.
 
-        An answer without an identifier is accepted if it reports that the
-        request did not run or was misdirected, or has no response stamp.
+        An answer without an identifier is accepted if it has no response
+        stamp. One that reports that the request did not run is accepted only
+        on a new connection: on a reused one it may be a copy of the refusal
+        of an earlier request.
         """
         metadata = self.header_codec.read_answer(status, headers)
         if metadata.identifier:
             return metadata.identifier == identifier
-        return metadata.is_not_run or not metadata.has_response_stamp
+        if metadata.is_not_run:
+            return is_connection_new
+        return not metadata.has_response_stamp
 
     def classify_answer(
         self,
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -34,6 +34,7 @@
         writer: Stream to the target.
         answer_memory: Memory budget for the bodies of answers.
         http: Parser and serializer of the exchange.
+        exchange_count: Number of exchanges that ended with a complete answer.
         idle_since: When the last exchange ended, on the monotonic clock.
         idle_watch: Task that ends when data or a close arrives while the
             connection is idle.
@@ -50,6 +51,7 @@
         self.writer = writer
         self.answer_memory = answer_memory
         self.http = new_parser()
+        self.exchange_count = 0
         self.idle_since = clock.monotonic()
         self.idle_watch: asyncio.Task[None] | None = None
 
@@ -62,10 +64,12 @@
             TargetError: If there is none; the request may have run.
         """
         try:
-            return await self.send_and_read(outgoing)
+            answer = await self.send_and_read(outgoing)
         except CONNECTION_ERRORS as error:
             detail = f'{type(error).__name__}: {error}'
             raise errors.TargetError(codes.ANSWER_BROKEN, detail) from error
+        self.exchange_count += 1
+        return answer
 
     async def send_and_read(
         self, outgoing: http_message.OutgoingRequest
