Obey targets that state in answers that they leave or want a pause

Cause: the headers Server-Leaving and Retry-After of targets were passed on unread. A daemon learned that a target leaves from the store only, so not while the store was away, and sent on to targets that had asked for a pause.

Change: the codec reads both headers of complete answers that belong to their request (platform/header_codec.py); proxy/target_notices.py applies them to the candidate. A leaving incarnation gets requests only if there is no other target, and none after the bound for draining. A paused target is left out by every choice, by retries, hedged attempts and after the connection is open. A pause is no evidence of a fault. If all targets are paused, the refusal comes at once and states when the first pause ends. A daemon tells the others of a leaving target with one datagram (peers/leaving_exchange.py).

Ruled out: notices of skipped answers, which belong to other requests, and of misdirected requests, which come from another target.

--- a/sapphirepaddle/directory/directory.py
+++ b/sapphirepaddle/directory/directory.py
@@ -85,7 +85,9 @@
         """Return the targets of a service; an unknown one is added empty."""
         targets = self.targets_by_service.get(service)
         if targets is None:
-            targets = service_targets.ServiceTargets(self.zone, random.Random())
+            targets = service_targets.ServiceTargets(
+                self.zone, random.Random(), self.bounds.drain
+            )
             self.targets_by_service[service] = targets
         return targets
 
--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -18,7 +18,13 @@
 )
 from sapphirepaddle.limits import account_quotas
 from sapphirepaddle.peers import count_exchange, datagrams, fleet
-from sapphirepaddle.proxy import attempt, body_memory, forwarder, sender
+from sapphirepaddle.proxy import (
+    attempt,
+    body_memory,
+    forwarder,
+    sender,
+    target_notices,
+)
 from sapphirepaddle.settings import edge
 from sapphirepaddle.telemetry import counters, decisions, exporter
 
@@ -116,6 +122,9 @@
         self.attempt_runner = attempt.AttemptRunner(
             self.platform.header_codec,
             body_memory.BodyMemoryBudget(body_bytes),
+            target_notices.TargetNotices(
+                self.count_exchange.leaving_exchange.announce, decision_log
+            ),
         )
         retrying_sender = sender.RetryingSender(
             self.attempt_runner,
--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -17,6 +17,7 @@
     fleet,
     hub_selector,
     introduction_exchange,
+    leaving_exchange,
     peer_totals,
     unsent_changes,
 )
@@ -52,6 +53,7 @@
         hub_selector: Chooses the hub that forwards digests in a large zone.
         digest_bundler: Digests that this daemon forwards as a hub.
         introduction_exchange: Introduces this daemon to others.
+        leaving_exchange: Reports targets that state that they leave.
         digest_receiver: Applies the digests of other daemons.
         is_leaving: Whether this daemon is shutting down.
         read_contact_ages: Returns the ages of the contact with the source.
@@ -82,6 +84,9 @@
         self.digest_receiver = digest_receiver.DigestReceiver(
             target_directory, quotas, peer_fleet
         )
+        self.leaving_exchange = leaving_exchange.LeavingExchange(
+            peer_fleet, self.digest_receiver, self.transmit
+        )
         self.is_leaving = False
         self.read_contact_ages: abc.Callable[[], contact.ContactAges] = (
             long_contact
@@ -314,6 +319,9 @@
         if isinstance(body, digest.Hello):
             self.introduction_exchange.handle_hello(body)
             return
+        if isinstance(body, digest.LeavingNotice):
+            self.leaving_exchange.handle_notice(body)
+            return
         if isinstance(body, digest.Bundle):
             for bundled_digest in body.digests:
                 self.handle_digest(bundled_digest, host)
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -45,11 +45,22 @@
   isForwarded @5 :Bool;
 }
 
+struct LeavingTarget {
+  target @0 :UInt32;
+  incarnation @1 :UInt64;
+}
+
+struct LeavingNotice {
+  targets @0 :List(LeavingTarget);
+  isForwarded @1 :Bool;
+}
+
 struct Datagram {
   union {
     digest @0 :Digest;
     hello @1 :Hello;
     bundle @2 :List(Digest);
+    leaving @3 :LeavingNotice;
   }
 }
 
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -103,6 +103,32 @@
     digests: tuple[Digest, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingTarget:
+    """A target that stated in an answer that it is shutting down.
+
+    Attributes:
+        target: Hash of the target's name.
+        incarnation: Start time of the target.
+    """
+
+    target: int
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """Targets that state that they are shutting down.
+
+    Attributes:
+        targets: The targets.
+        is_forwarded: Whether the receiver forwards it within its zone.
+    """
+
+    targets: tuple[LeavingTarget, ...]
+    is_forwarded: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Hello:
     """Introduction of a daemon.
@@ -142,7 +168,7 @@
     targets_revision: int
 
 
-Body = Digest | Hello | Bundle
+Body = Digest | Hello | Bundle | LeavingNotice
 
 
 def hash_name(name: str) -> int:
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -30,6 +30,8 @@
         builder = SCHEMA.Datagram.new_message(
             bundle=to_plain_value(body.digests)
         )
+    elif isinstance(body, digest.LeavingNotice):
+        builder = SCHEMA.Datagram.new_message(leaving=to_fields(body))
     else:
         builder = SCHEMA.Datagram.new_message(hello=to_fields(body))
     return builder.to_bytes()
@@ -69,6 +71,8 @@
                 return read_digest(reader.digest)
             if kind == 'bundle':
                 return digest.Bundle(tuple(map(read_digest, reader.bundle)))
+            if kind == 'leaving':
+                return read_leaving_notice(reader.leaving)
             return read_hello(reader.hello)
     except DECODE_ERRORS as error:
         raise malformed_error(error) from error
@@ -103,6 +107,17 @@
     )
 
 
+def read_leaving_notice(reader: typing.Any) -> digest.LeavingNotice:
+    """Return the notice held by a Cap'n Proto reader."""
+    return digest.LeavingNotice(
+        targets=tuple(
+            digest.LeavingTarget(target.target, target.incarnation)
+            for target in reader.targets
+        ),
+        is_forwarded=reader.isForwarded,
+    )
+
+
 def read_hello(reader: typing.Any) -> digest.Hello:
     """Return the introduction held by a Cap'n Proto reader."""
     return digest.Hello(
--- a/sapphirepaddle/platform/header_codec.py
+++ b/sapphirepaddle/platform/header_codec.py
@@ -1,5 +1,7 @@
 """HTTP headers that the platform defines for callers and targets."""
 
+import itertools
+import re
 import typing
 
 from sapphirepaddle.platform import names
@@ -68,9 +70,15 @@
     ) -> header_codec.AnswerMetadata:
         """Return the metadata in the headers of a target's answer.
 
-        A misdirected request, status 421, was not run.
+        A misdirected request, status 421, was not run. The time in
+        Retry-After counts only beside the status with which targets turn
+        requests away.
         """
         header_values = group_by_name(headers)
+        rest_text = last_value(header_values, names.RETRY_AFTER)
+        has_rest = bool(rest_text) and status == names.TURNED_AWAY_STATUS
+        rest_seconds = parse_rest_seconds(rest_text) if has_rest else None
+        leaving_text = last_value(header_values, names.LEAVING).strip()
         is_misdirected = status == names.MISDIRECTED_STATUS
         return header_codec.AnswerMetadata(
             identifier=last_value(header_values, names.REQUEST_ID).decode(
@@ -86,6 +94,17 @@
             idle_seconds=parse_keep_alive_timeout(
                 last_value(header_values, names.KEEP_ALIVE)
             ),
+            is_leaving=leaving_text == names.LEAVING_VALUE,
+            rest_seconds=rest_seconds,
+            malformed_headers=tuple(
+                itertools.compress(
+                    OPTIONAL_HEADERS,
+                    (
+                        leaving_text not in VALID_LEAVING_VALUES,
+                        has_rest and rest_seconds is None,
+                    ),
+                )
+            ),
         )
 
     def write_refusal(
@@ -112,6 +131,15 @@
 
 
 HeaderValues = dict[bytes, list[bytes]]
+OPTIONAL_HEADERS: typing.Final = (
+    names.LEAVING.decode(),
+    names.RETRY_AFTER.decode(),
+)
+"""Headers with which targets state that they leave or want a pause."""
+VALID_LEAVING_VALUES: typing.Final = frozenset((b'', names.LEAVING_VALUE))
+SECONDS: typing.Final = re.compile(rb'[0-9]{1,18}(\.[0-9]{0,18})?')
+"""Seconds in a Retry-After header: a decimal number without sign or exponent.
+A date is not accepted."""
 IDENTITY_ENCODINGS: typing.Final = frozenset((b'', b'identity'))
 
 
@@ -150,3 +178,9 @@
         if name.lower() == b'timeout' and seconds.isdigit():
             return float(seconds)
     return None
+
+
+def parse_rest_seconds(text: bytes) -> float | None:
+    """Return the seconds of a Retry-After header; None if malformed."""
+    text = text.strip()
+    return float(text) if SECONDS.fullmatch(text) else None
--- a/sapphirepaddle/platform/names.py
+++ b/sapphirepaddle/platform/names.py
@@ -13,9 +13,13 @@
 RESPONSE_STAMP: typing.Final = b'x-response-stamp'
 NOT_EXECUTED: typing.Final = b'x-not-executed'
 KEEP_ALIVE: typing.Final = b'keep-alive'
+LEAVING: typing.Final = b'server-leaving'
+LEAVING_VALUE: typing.Final = b'1'
+RETRY_AFTER: typing.Final = b'retry-after'
 CONTENT_ENCODING: typing.Final = b'content-encoding'
 
 MISDIRECTED_STATUS: typing.Final = 421
+TURNED_AWAY_STATUS: typing.Final = 503
 METRICS_PORT: typing.Final = 9464
 METRICS_PATH: typing.Final = '/metrics'
 """Path of the metrics, as stated in deploy/system.toml."""
--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -14,6 +14,7 @@
     http_message,
     request_context,
     target_connection,
+    target_notices,
 )
 from sapphirepaddle.routing import candidate
 
@@ -55,14 +56,17 @@
         header_codec: Reads and writes the headers of both sides.
         answer_memory: Memory budget for the bodies of answers.
         connection_pool: Idle connections to targets.
+        notices: Applies what targets state about themselves.
     """
 
     def __init__(
         self,
         codec: header_codec.HeaderCodec,
         answer_memory: body_memory.BodyMemoryBudget,
+        notices: target_notices.TargetNotices,
     ) -> None:
         """Initialize with an empty connection pool."""
+        self.notices = notices
         self.header_codec = codec
         self.answer_memory = answer_memory
         self.connection_pool = connection_pool.ConnectionPool(answer_memory)
@@ -198,6 +202,7 @@
         """Classify a complete answer and return or close its connection."""
         metadata = self.header_codec.read_answer(answer.status, answer.headers)
         address = (target.registration.host, target.registration.port)
+        self.notices.apply(context, target, metadata)
         if metadata.idle_seconds is not None:
             target.keep_alive_seconds = metadata.idle_seconds
         if answer.is_reusable:
@@ -209,7 +214,9 @@
             return AttemptResult(AttemptResultKind.NOT_RUN, 'misdirected')
         if metadata.is_not_run:
             return AttemptResult(
-                AttemptResultKind.NOT_RUN, f'refused {answer.status}'
+                AttemptResultKind.NOT_RUN,
+                f'refused {answer.status}',
+                is_pause_stated=bool(metadata.rest_seconds),
             )
         if answer.status in SUCCESS_STATUSES:
             return classify_success(context, metadata, answer)
--- a/sapphirepaddle/proxy/attempt_result.py
+++ b/sapphirepaddle/proxy/attempt_result.py
@@ -31,8 +31,10 @@
         kind: What it says about the request.
         reason: Status or failure, for logs.
         answer: The target's complete answer if it can be passed on.
+        is_pause_stated: Whether the target asked for a pause.
     """
 
     kind: AttemptResultKind
     reason: str
     answer: http_message.ReceivedAnswer | None = None
+    is_pause_stated: bool = False
--- a/sapphirepaddle/proxy/header_codec.py
+++ b/sapphirepaddle/proxy/header_codec.py
@@ -50,6 +50,10 @@
             asks for.
         idle_seconds: Keep-alive time of the target's idle connections; None if
             not stated.
+        is_leaving: Whether the target states that it is shutting down.
+        rest_seconds: Time for which the target wants no requests of this
+            daemon; None if not stated.
+        malformed_headers: Names of headers that were ignored as malformed.
     """
 
     identifier: str
@@ -58,6 +62,9 @@
     is_misdirected: bool
     is_encoded: bool
     idle_seconds: float | None
+    is_leaving: bool = False
+    rest_seconds: float | None = None
+    malformed_headers: tuple[str, ...] = ()
 
 
 class HeaderCodec(abc.ABC):
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -145,7 +145,9 @@
             return False
         if context.is_attempt_limit_reached:
             return False
-        if not context.service_targets.has_alternative(context.tried_targets):
+        if not context.service_targets.has_alternative(
+            context.tried_targets, clock.monotonic()
+        ):
             return False
         is_allowed = self.try_acquire_retry(context.service)
         self.decisions.log_decision(
@@ -201,7 +203,7 @@
             except errors.TargetError as error:
                 self.record_unreachable(context, target, error)
                 continue
-            if context.service_targets.is_usable(target):
+            if context.service_targets.is_usable(target, clock.monotonic()):
                 return target, connection
             connection.close()
             context.tried_targets.discard(target.registration.name)
@@ -242,9 +244,9 @@
     ) -> bool:
         """Record the result of an attempt as evidence.
 
-        A refusal indicates a fault only if the target had free slots. A
-        failure reported by the target near the deadline says nothing: the
-        request may just take long.
+        A refusal indicates a fault only if the target had free slots and
+        stated no pause. A failure reported by the target near the deadline
+        says nothing: the request may just take long.
 
         Returns:
             Whether the result indicates a fault of the target.
@@ -257,7 +259,7 @@
             and context.remaining_seconds > DEADLINE_MARGIN_SECONDS
         )
         if result.kind is AttemptResultKind.NOT_RUN:
-            is_bad = has_free_slots
+            is_bad = has_free_slots and not result.is_pause_stated
         if is_bad or result.kind is AttemptResultKind.ANSWERED:
             target.record_answer(not is_bad, now)
         if result.kind is AttemptResultKind.ANSWERED:
@@ -345,12 +347,24 @@
         raise errors.RefusedError(
             codes.NO_TARGET,
             context.service,
-            RETRY_AFTER_SECONDS,
+            retry_after(context),
         )
     if context.remaining_seconds <= 0:
         raise errors.RefusedError(codes.ANSWER_TIMEOUT, context.service)
     raise errors.RefusedError(codes.ANSWER_BROKEN, context.service)
 
 
+def retry_after(context: request_context.RequestContext) -> float:
+    """Return the seconds after which a target may accept the request.
+
+    If all targets are paused, it is when the first pause ends.
+    """
+    now = clock.monotonic()
+    targets = context.service_targets
+    if targets.has_alternative(frozenset(), now):
+        return RETRY_AFTER_SECONDS
+    return max(RETRY_AFTER_SECONDS, targets.seconds_until_room(now))
+
+
 NO_EVIDENCE_AGE_SECONDS: typing.Final = 999.0
 """Age in seconds that is logged when there is no evidence."""
--- a/sapphirepaddle/routing/candidate.py
+++ b/sapphirepaddle/routing/candidate.py
@@ -58,7 +58,10 @@
         result_count: Number of results of all daemons.
         last_used_at: Time of the last known request of any daemon.
         revisit_seconds: Idle time after which a request is due.
-        avoided_until: Time until which the address is not used.
+        avoided_until: Time until which the target is not used: its address
+            belongs to another one, or it asked for a pause.
+        leaving_since: Time since which the target is known to shut down; None
+            if it is not.
         keep_alive_seconds: Time for which the target keeps an idle
             connection; None if the target did not state it.
     """
@@ -81,6 +84,7 @@
         self.last_used_at = now
         self.revisit_seconds = random.uniform(*REVISIT_SECONDS)
         self.avoided_until = -math.inf
+        self.leaving_since: float | None = None
         self.keep_alive_seconds: float | None = None
 
     def outstanding(self, now: float) -> int:
@@ -143,6 +147,10 @@
         """Record that the address now belongs to another target."""
         self.avoided_until = now + MISDIRECTED_SECONDS
 
+    def record_pause(self, seconds: float, now: float) -> None:
+        """Record that the target wants no requests for some seconds."""
+        self.avoided_until = max(self.avoided_until, now + seconds)
+
     def failure_probability(self, now: float) -> float:
         """Return the probability that the next request fails."""
         success_probability = (
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -26,6 +26,8 @@
 FULL_COVERAGE_RATE: typing.Final = 1.0
 """Requests per second and target with which the daemons of a zone revisit its
 targets by themselves."""
+MAX_FORMER_CANDIDATES: typing.Final = 1000
+"""Maximum number of targets that are remembered after they were removed."""
 WARMUP_FACTOR: typing.Final = 2.0
 """Factor of the answer time while a target warms up after its start."""
 
@@ -39,14 +41,23 @@
         candidates: Targets by name.
         typical_seconds: Moving average of the answer time; 0 before the
             first answer.
+        drain_seconds: Time for which a leaving target may still be used if
+            there is no other.
+        former_candidates: Candidates that are no longer listed, or were
+            replaced by another incarnation, and must not be used if they are
+            listed again, by name and incarnation.
         zone_rates: Rate at which the daemons of another zone send requests to
             the targets of that zone, by zone.
     """
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, rng: random.Random, drain_seconds: float = 0
+    ) -> None:
         """Initialize an empty set of targets."""
         self.zone = zone
         self.rng = rng
+        self.drain_seconds = drain_seconds
+        self.former_candidates: dict[tuple[str, int], candidate.Candidate] = {}
         self.candidates: dict[str, candidate.Candidate] = {}
         self.typical_seconds: float = 0
         self.zone_rates: dict[str, request_rate.RequestRate] = {}
@@ -56,30 +67,67 @@
     ) -> None:
         """Apply a registration.
 
-        A new incarnation of a target starts without evidence.
+        A new incarnation of a target starts without evidence. An incarnation
+        that was listed before is still bound by what it stated.
         """
-        target = self.candidates.get(target_registration.name)
+        name = target_registration.name
+        target = self.candidates.get(name)
         if target is None or not target.registration.is_same_incarnation(
             target_registration
         ):
-            self.candidates[target_registration.name] = candidate.Candidate(
-                target_registration, now
+            self.remove(name)
+            target = self.former_candidates.get(
+                (name, target_registration.incarnation)
             )
-        else:
-            target.registration = target_registration
+        if target is None or not target.registration.is_same_incarnation(
+            target_registration
+        ):
+            target = candidate.Candidate(target_registration, now)
+        target.registration = target_registration
+        self.candidates[name] = target
 
     def remove(self, name: str) -> None:
         """Remove a target, if it is present."""
-        self.candidates.pop(name, None)
+        target = self.candidates.pop(name, None)
+        if target is None:
+            return
+        if target.leaving_since is None and target.avoided_until < 0:
+            return
+        key = (name, target.registration.incarnation)
+        self.former_candidates[key] = target
+        if len(self.former_candidates) > MAX_FORMER_CANDIDATES:
+            self.former_candidates.pop(next(iter(self.former_candidates)))
 
-    def is_usable(self, target: candidate.Candidate) -> bool:
-        """Return whether a selected target is still listed and not draining."""
+    def is_usable(self, target: candidate.Candidate, now: float) -> bool:
+        """Return whether a request may be sent to a selected target."""
         name = target.registration.name
+        return self.candidates.get(name) is target and self.may_send(
+            target, now
+        )
+
+    def may_send(self, target: candidate.Candidate, now: float) -> bool:
+        """Return whether a target accepts requests at a time.
+
+        A leaving target does so until `drain_seconds` have passed.
+        """
+        if target.registration.is_draining or target.avoided_until > now:
+            return False
         return (
-            self.candidates.get(name) is target
-            and not target.registration.is_draining
+            target.leaving_since is None
+            or now < target.leaving_since + self.drain_seconds
         )
 
+    def record_leaving(self, target: candidate.Candidate, now: float) -> bool:
+        """Record that a target is shutting down.
+
+        Returns:
+            Whether that was unknown.
+        """
+        if target.leaving_since is not None:
+            return False
+        target.leaving_since = now
+        return True
+
     def record_latency(self, seconds: float) -> None:
         """Record the time of a good answer, in seconds."""
         if not self.typical_seconds:
@@ -88,16 +136,28 @@
             seconds - self.typical_seconds
         ) * LATENCY_SMOOTHING_RATIO
 
-    def has_alternative(self, excluded: abc.Set[str]) -> bool:
-        """Return whether there is a target besides the excluded ones.
-
-        Draining targets do not count.
-        """
+    def has_alternative(self, excluded: abc.Set[str], now: float) -> bool:
+        """Return whether a target besides the excluded ones may be used."""
         return any(
-            name not in excluded and not target.registration.is_draining
+            name not in excluded and self.may_send(target, now)
             for name, target in self.candidates.items()
         )
 
+    def seconds_until_room(self, now: float) -> float:
+        """Return the seconds until the first pause of a target ends.
+
+        It is 0 if no target is paused.
+        """
+        return min(
+            (
+                target.avoided_until - now
+                for target in self.candidates.values()
+                if target.avoided_until > now
+                and self.may_send(target, target.avoided_until)
+            ),
+            default=0,
+        )
+
     def choose(
         self,
         excluded: abc.Container[str],
@@ -106,6 +166,8 @@
     ) -> candidate.Candidate | None:
         """Select a target: an overdue one, else the cheapest of a sample.
 
+        A leaving target is selected only if there is no other.
+
         Args:
             excluded: Names of targets that the request was sent to.
             weights: Weights of the cost.
@@ -117,10 +179,10 @@
         usable = [
             target
             for name, target in self.candidates.items()
-            if name not in excluded
-            and not target.registration.is_draining
-            and target.avoided_until <= now
+            if name not in excluded and self.may_send(target, now)
         ]
+        staying = [target for target in usable if target.leaving_since is None]
+        usable = staying or usable
         overdue_target = self.most_overdue(usable, now)
         if overdue_target is not None:
             return overdue_target
--- a/tests/peers/test_digest_codec.py
+++ b/tests/peers/test_digest_codec.py
@@ -32,6 +32,9 @@
                 incarnation=5,
                 is_answer=True,
             ),
+            digest.LeavingNotice(
+                (digest.LeavingTarget(1, 1 << 41),), is_forwarded=True
+            ),
             digest.Bundle(
                 (
                     digest.Digest(sender=1, start=2),
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -163,6 +163,46 @@
         self.assertEqual(metadata.idle_seconds, 10)
         self.assertFalse(metadata.has_response_stamp)
 
+    def read_notices(
+        self, status: int, *headers: tuple[bytes, bytes]
+    ) -> tuple[bool, float | None, tuple[str, ...]]:
+        """Return what a target states about itself in an answer."""
+        metadata = self.header_codec.read_answer(status, [*headers])
+        return (
+            metadata.is_leaving,
+            metadata.rest_seconds,
+            metadata.malformed_headers,
+        )
+
+    def test_leaving_target(self) -> None:
+        notices = self.read_notices(200, (b'server-leaving', b' 1 '))
+        self.assertEqual(notices, (True, None, ()))
+        for malformed in (b'0', b'true', b'11', b'\xb9'):
+            notices = self.read_notices(200, (b'Server-Leaving', malformed))
+            self.assertEqual(notices, (False, None, ('server-leaving',)))
+
+    def test_pause(self) -> None:
+        for text, seconds in ((b'2', 2), (b'0.25', 0.25), (b' 7. ', 7)):
+            notices = self.read_notices(503, (b'Retry-After', text))
+            self.assertEqual(notices, (False, seconds, ()))
+        self.assertEqual(
+            self.read_notices(200, (b'Retry-After', b'2')), (False, None, ())
+        )
+
+    def test_malformed_pause_is_ignored(self) -> None:
+        for malformed in (
+            b'-1',
+            b'soon',
+            b'nan',
+            b'inf',
+            b'1e3',
+            b'9' * 400,
+            b'Wed, 21 Oct 2026 07:28:00 GMT',
+            b'\xb2',
+        ):
+            notices = self.read_notices(503, (b'Retry-After', malformed))
+            self.assertEqual(notices, (False, None, ('retry-after',)))
+
     def test_malformed_keep_alive_is_ignored(self) -> None:
         metadata = self.header_codec.read_answer(
             200,
--- a/tests/proxy/test_sender.py
+++ b/tests/proxy/test_sender.py
@@ -194,6 +194,23 @@
             ),
         )
 
+    async def test_target_paused_while_connecting(self) -> None:
+        context = self.build_context()
+        await self.check(
+            context, lambda target: target.record_pause(30, clock.monotonic())
+        )
+
+    async def test_leaving_target_passes_its_bound_while_connecting(
+        self,
+    ) -> None:
+        context = self.build_context()
+        await self.check(
+            context,
+            lambda target: context.service_targets.record_leaving(
+                target, clock.monotonic()
+            ),
+        )
+
     async def test_target_draining_while_connecting(self) -> None:
         context = self.build_context()
         await self.check(
--- a/tests/routing/test_service_targets.py
+++ b/tests/routing/test_service_targets.py
@@ -118,6 +118,63 @@
         self.assertEqual(self.chosen_names(), {'two'})
 
 
+class TestLeavingTargets(unittest.TestCase):
+    """Targets that state that they leave are used only if there is no other.
+
+    They may be used until the bound has passed, so that a service all of
+    whose targets leave is served as long as possible.
+    """
+
+    def setUp(self) -> None:
+        """Register two targets, of which the first one leaves."""
+        self.targets = service_targets.ServiceTargets('a', random.Random(1), 2)
+        for name in ('one', 'two'):
+            self.targets.apply_registration(registered(name), 100)
+        self.leaving = self.targets.candidates['one']
+        self.targets.record_leaving(self.leaving, 100)
+
+    def choose(self, excluded: frozenset[str], now: float) -> str:
+        """Return the name of the selected target; empty for none."""
+        chosen = self.targets.choose(excluded, WEIGHTS, now)
+        return chosen.registration.name if chosen else ''
+
+    def test_other_target_is_selected(self) -> None:
+        names = {self.choose(frozenset(), 100) for _ in range(20)}
+        self.assertEqual(names, {'two'})
+
+    def test_last_target_is_selected_until_the_bound(self) -> None:
+        excluded = frozenset(('two',))
+        self.assertEqual(self.choose(excluded, 101.9), 'one')
+        self.assertTrue(self.targets.has_alternative(excluded, 101.9))
+        self.assertEqual(self.choose(excluded, 102), '')
+        self.assertFalse(self.targets.has_alternative(excluded, 102))
+        self.assertFalse(self.targets.is_usable(self.leaving, 102))
+
+    def test_bound_does_not_move_when_it_is_stated_again(self) -> None:
+        self.assertFalse(self.targets.record_leaving(self.leaving, 101.5))
+        self.assertEqual(self.choose(frozenset(('two',)), 102), '')
+
+    def test_pause_ends_when_the_longest_one_does(self) -> None:
+        self.leaving.record_pause(1.5, 100)
+        self.leaving.record_pause(0.5, 100.2)
+        self.assertEqual(self.choose(frozenset(('two',)), 101.4), '')
+        self.assertEqual(self.choose(frozenset(('two',)), 101.5), 'one')
+
+    def test_time_until_room_leaves_out_targets_past_their_bound(self) -> None:
+        self.leaving.record_pause(3, 100)
+        self.targets.candidates['two'].record_pause(5, 100)
+        self.assertEqual(self.targets.seconds_until_room(100), 5)
+
+    def test_former_targets_are_bounded(self) -> None:
+        limit = service_targets.MAX_FORMER_CANDIDATES
+        for number in range(limit + 5):
+            name = f't-{number}'
+            self.targets.apply_registration(registered(name), 100)
+            self.targets.record_leaving(self.targets.candidates[name], 100)
+            self.targets.remove(name)
+        self.assertEqual(len(self.targets.former_candidates), limit)
+
+
 class TestManyTargets(unittest.TestCase):
     """Many daemons that select by the same, slightly outdated loads.
 
