Make fewer fresh calls to the store at a start and after an outage

Cause: each daemon read the member list once more by a fresh call after it had registered, and replaced both of its watches by fresh calls when a reader regained contact.

Change: the member list is read again 1 s and 4 s after the registration, by calls that may be stale; daemons that register at the same time find each other then. Unanswered watches are replaced by calls of the daemon's role. What a reader has read is relayed, and a daemon that still differs from it makes a fresh call as before.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -23,8 +23,8 @@
 """Pause after a change, so that the next call returns further changes in one
 batch; well below the time in which changes must be applied."""
 RELAYED_BATCH_PAUSE_SECONDS: typing.Final = 1.0
-"""Pause after a change on a daemon to which readers relay changes. It stays below
-the bounds for draining, as all readers of a zone may be partitioned."""
+"""Pause after a change on a daemon to which readers relay changes. It stays
+below the bounds for draining, as all readers of a zone may be partitioned."""
 READER_BATCH_PAUSE_SECONDS: typing.Final = 0.4
 """Pause after a change on a reader; shorter because other daemons depend on the
 version and fingerprint that readers publish."""
@@ -196,6 +196,10 @@
         It replaces a pending watch call, or ends the pause after a change.
         """
         self.refresh_requested.set()
+        self.replace_call()
+
+    def replace_call(self) -> None:
+        """Replace a pending watch call, which may never be answered."""
         if self.watch_timeout is not None and not self.watch_timeout.expired():
             self.watch_timeout.reschedule(asyncio.get_running_loop().time())
 
--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -14,6 +14,10 @@
 REFRESH_INTERVAL_SECONDS: typing.Final = 20.0
 """Interval between reads of the member list, which find daemons whose
 introductions were lost."""
+FIRST_REFRESH_SECONDS: typing.Final = (1.0, 3.0)
+"""Pauses before the first reads after this daemon has registered. They find
+daemons that registered at the same time, and whose entries an answer that may
+be stale does not contain at once."""
 
 
 class Membership:
@@ -48,6 +52,9 @@
         )
         while not await self.register():
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        for pause_seconds in FIRST_REFRESH_SECONDS:
+            await asyncio.sleep(pause_seconds)
+            await self.refresh_members(is_stale_allowed=True)
         while True:
             await asyncio.sleep(REFRESH_INTERVAL_SECONDS)
             self.count_exchange.fleet.remove_silent()
@@ -73,16 +80,14 @@
         the restart by an introduction.
 
         Returns:
-            Whether the entry is listed and the list was read.
+            Whether the entry is listed or written.
         """
         if (
             await self.refresh_members(is_stale_allowed=True)
             and self.is_registered
         ):
             return True
-        return await self.write_entry() and await self.refresh_members(
-            is_stale_allowed=False
-        )
+        return await self.write_entry()
 
     async def write_entry(self) -> bool:
         """Write the entry of this daemon.
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -85,7 +85,8 @@
         """Replace calls made before a reader regained contact.
 
         The source may have received them in an outage; then it never answers
-        them.
+        them. The new calls may be stale: what the reader has read since is
+        relayed, or shows in its fingerprint and version.
         """
         recovered_at = max(
             (
@@ -99,7 +100,7 @@
             if recovered_at > watcher.call_started_at + (
                 CONTACT_TOLERANCE_SECONDS
             ):
-                watcher.refresh()
+                watcher.replace_call()
 
     def peer_readers(self) -> dict[int, fleet.Peer]:
         """Return the other readers of the zone by the hash of the name."""
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -132,7 +132,7 @@
         Other daemons of the zone rely on a reader for the recovery, and the
         configuration watcher on the target watcher.
         """
-        self.configuration_watcher.refresh()
+        self.configuration_watcher.replace_call()
         if self.reader_role.is_reader():
             self.count_exchange.request_immediate_send()
         returned_at = self.outage_evidence.source_returned_at()
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -257,3 +257,37 @@
         await self.source.apply_change(kind, source.Entry('vm-1', None))
         await edge_daemon.components.membership.ensure_registered()
         self.assertIn('vm-1', entries)
+
+    async def test_daemons_that_start_together_find_each_other(self) -> None:
+        """Neither finds the other in its first list, which is stale."""
+        self.source.stale_revision = self.source.revision
+        first = await self.start_daemon(5)
+        second = await self.start_daemon(6)
+        kind = first.components.platform.member_kind
+        await self.wait_until(
+            lambda: len(self.source.objects.get(kind, ())) == 2
+        )
+        for edge_daemon in (first, second):
+            self.assertEqual(edge_daemon.components.fleet.size, 1)
+        self.source.stale_revision = None
+        await self.wait_until(
+            lambda: (
+                first.components.fleet.size == second.components.fleet.size == 2
+            ),
+            seconds=10,
+        )
+
+    async def test_registration_needs_no_fresh_list(self) -> None:
+        edge_daemon = await self.start_daemon(1)
+        membership = edge_daemon.components.membership
+        kind = edge_daemon.components.platform.member_kind
+        await self.wait_until(lambda: bool(self.source.objects.get(kind)))
+        await self.source.apply_change(kind, source.Entry('vm-1', None))
+        with mock.patch.object(
+            self.source, 'list_all', wraps=self.source.list_all
+        ) as list_all:
+            self.assertTrue(await membership.register())
+        self.assertEqual(
+            [call.args for call in list_all.mock_calls],
+            [(kind, True)],
+        )
