Let the second reader of a zone wait longer for changes

Cause: both readers of a zone ended each watch after 1.5 s to notice that the store no longer answers.

Change: only the first reader does so; the second one's watch may last 6 s. It ends at a change as before, and is replaced when the second reader becomes the first.

Ruled out: one reader for each zone; then nobody would notice a change for 2.5 s after its connection was cut.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -16,6 +16,9 @@
 """Maximum wait of a watch call by which a reader detects that the source has
 stopped answering. A call that was received in an outage may never be answered,
 so it must time out soon."""
+SECOND_READER_WATCH_SECONDS: typing.Final = 6.0
+"""Maximum wait of a watch call on a reader whose zone has a first reader, which
+detects outages for both."""
 SHORT_WATCH_SECONDS: typing.Final = 0.5
 """Maximum wait of a watch call while the source is unavailable or when a newer
 state is known to exist."""
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -32,6 +32,7 @@
         count_exchange: Provides the fleet and the fingerprints.
         local_hash: Hash of this daemon's name.
         was_reader: Whether this daemon was a reader at the last check.
+        was_first: Whether it was the first reader at the last check.
         mismatch_since: Since when a reader's fingerprint has differed, by
             reader, on the monotonic clock.
         handled_mismatches: The last pair of local and remote fingerprint for
@@ -50,6 +51,7 @@
         self.count_exchange = exchange
         self.local_hash = digest.hash_name(exchange.fleet.local_member.name)
         self.was_reader = True
+        self.was_first = True
         self.mismatch_since: dict[int, float] = {}
         self.handled_mismatches: dict[int, tuple[int, int]] = {}
         self.logger = logs.get_logger('reading')
@@ -72,6 +74,7 @@
             self.logger.info('reader role', is_reader=is_reader)
             if is_reader:
                 self.refresh_all()
+        self.update_rank()
         readers = self.readers_ahead()
         if readers:
             self.logger.info(
@@ -81,6 +84,27 @@
         self.replace_unanswered_calls()
         return readers
 
+    def update_rank(self) -> None:
+        """Set how long a call may wait, by the rank among the readers.
+
+        A second reader that becomes the first one replaces its call, which
+        may wait for longer.
+        """
+        is_first = self.count_exchange.fleet.reader_hashes()[-1] == (
+            self.local_hash
+        )
+        if is_first == self.was_first:
+            return
+        self.was_first = is_first
+        target_watcher = self.watchers[0]
+        target_watcher.reader_watch_seconds = (
+            object_watcher.READER_WATCH_SECONDS
+            if is_first
+            else object_watcher.SECOND_READER_WATCH_SECONDS
+        )
+        if is_first:
+            target_watcher.replace_call()
+
     def replace_unanswered_calls(self) -> None:
         """Replace calls made before a reader regained contact.
 
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -99,6 +99,34 @@
             synchronizer = follower.components.synchronizer
             self.assertGreater(synchronizer.change_relay.relayed_count, 0)
 
+    async def test_second_reader_detects_outages_as_the_first_one(
+        self,
+    ) -> None:
+        first, second = sorted(
+            (peer.components.synchronizer for peer in self.readers()),
+            key=lambda synchronizer: synchronizer.reader_role.local_hash,
+            reverse=True,
+        )
+        self.assertEqual(
+            [
+                synchronizer.target_watcher.reader_watch_seconds
+                for synchronizer in (first, second)
+            ],
+            [
+                object_watcher.READER_WATCH_SECONDS,
+                object_watcher.SECOND_READER_WATCH_SECONDS,
+            ],
+        )
+        first.target_watcher.unavailable_since = clock.monotonic()
+        first.count_exchange.request_immediate_send()
+        await self.wait_until(
+            lambda: (
+                second.target_watcher.reader_watch_seconds
+                == object_watcher.READER_WATCH_SECONDS
+            ),
+            seconds=10,
+        )
+
     async def test_lost_readers_are_replaced(self) -> None:
         readers = self.readers()
         for number, edge_daemon in reversed(list(enumerate(self.daemons))):
