Weigh late answers in the choice of a target

Cause: the cost of a target grew in proportion to the wait for a slot, one unit for each latency objective, and a possible failure of an order cost five. So orders queued at the few targets with recent good results until they were late, beside free targets with little evidence.

Change: the probability that the answer misses the objective (routing/lateness.py) costs 0.6 of a failure.

Ruled out: 1.0 and 0.35 of a failure.

--- a/sapphirepaddle/proxy/forwarder.py
+++ b/sapphirepaddle/proxy/forwarder.py
@@ -25,6 +25,9 @@
 objectives."""
 NON_IDEMPOTENT_FAILURE_COST: typing.Final = 5.0
 """Cost of a failure that must not be retried, in latency objectives."""
+LATE_COST_RATIO: typing.Final = 0.6
+"""Cost of an answer that misses the latency objective, relative to that of a
+failure: most of its value is lost."""
 STARTING_RETRY_SECONDS: typing.Final = 1.0
 """Retry hint for callers while no configuration is loaded."""
 STOPPING_RETRY_SECONDS: typing.Final = 0.1
@@ -178,12 +181,7 @@
             account=client_account,
             service=service,
             service_targets=self.directory.service_targets(service),
-            cost_weights=cost_weights.CostWeights(
-                objective_seconds=matched_route.latency_objective_seconds,
-                failure=IDEMPOTENT_FAILURE_COST
-                if matched_route.is_idempotent
-                else NON_IDEMPOTENT_FAILURE_COST,
-            ),
+            cost_weights=choose_cost_weights(matched_route),
             deadline=caller_request.received_at + timeout_seconds,
         )
 
@@ -224,6 +222,20 @@
             )
 
 
+def choose_cost_weights(
+    matched_route: route.Route,
+) -> cost_weights.CostWeights:
+    """Return the weights for the choice of a target for a route's requests."""
+    failure = NON_IDEMPOTENT_FAILURE_COST
+    if matched_route.is_idempotent:
+        failure = IDEMPOTENT_FAILURE_COST
+    return cost_weights.CostWeights(
+        objective_seconds=matched_route.latency_objective_seconds,
+        failure=failure,
+        late=failure * LATE_COST_RATIO,
+    )
+
+
 def authenticate(
     active_configuration: configuration.Configuration,
     matched_route: route.Route,
--- a/sapphirepaddle/routing/cost_weights.py
+++ b/sapphirepaddle/routing/cost_weights.py
@@ -10,6 +10,7 @@
     Attributes:
         objective_seconds: Latency objective; the unit of the other costs.
         failure: Cost of a failure.
+        late: Cost of an answer that misses the objective.
         other_zone: Cost of a target in another availability zone.
         busy_slot: Cost of occupied slots, as a share of the typical answer
             time.
@@ -18,6 +19,7 @@
 
     objective_seconds: float
     failure: float
+    late: float = 0
     other_zone: float = 0.3
     busy_slot: float = 0.2
     exploration: float = 1.0
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -6,7 +6,12 @@
 from collections import abc
 
 from sapphirepaddle.directory import registration
-from sapphirepaddle.routing import candidate, cost_weights, request_rate
+from sapphirepaddle.routing import (
+    candidate,
+    cost_weights,
+    lateness,
+    request_rate,
+)
 
 COST_NOISE: typing.Final = 0.02
 """Range of the random part of a cost, which breaks ties."""
@@ -297,11 +302,16 @@
         occupied = min(outstanding, slots) / slots * weights.busy_slot
         slowdown = WARMUP_FACTOR if target.registration.warmup_seconds else 1
         seconds = self.typical_seconds * (queued + occupied) * slowdown
+        late_probability = lateness.late_probability(
+            self.typical_seconds * (1 + queued) * slowdown,
+            weights.objective_seconds,
+        )
         is_other_zone = target.registration.zone != self.zone
         is_untried = not target.result_count and not outstanding
         return (
             seconds / weights.objective_seconds
             + target.failure_probability(now) * weights.failure
+            + late_probability * weights.late
             + is_other_zone * weights.other_zone
             - is_untried * weights.exploration
             + self.rng.random() * COST_NOISE
