Read the first lists of a process by fresh calls

Cause: the first list of a process could be stale, and the watch after it closed the gap.

Change: all lists are fresh. In turn a daemon is no reader in the first 1.5 s, in which it knows no others, so that its first two watches need not be fresh.

Ruled out: holding the daemon unready until a reader's fingerprint matches, which leaves all waiting when the whole fleet restarts.

tests.directory.test_object_watcher counts fresh calls from after the first list, which is one of them now; the numbers are the same.

Result: tests.edge.test_reader_role.TestRestart fails before and passes now.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -73,7 +73,6 @@
         on_answer: Called at each answer, before its content is applied.
         on_lost: Called when the source stops answering.
         on_recovered: Called when the source answers again after an outage.
-        has_listed: Whether a full list was read.
         is_reader: Returns whether this daemon is a reader.
         batch_seconds: Pause after a change on a daemon that is no reader.
         reader_watch_seconds: Maximum wait of one watch call on a reader.
@@ -106,7 +105,6 @@
         self.on_answer: abc.Callable[[], None] = ignore_contact_change
         self.on_lost: abc.Callable[[], None] = ignore_contact_change
         self.on_recovered: abc.Callable[[], None] = ignore_contact_change
-        self.has_listed = False
         self.batch_seconds = BATCH_PAUSE_SECONDS
         self.reader_watch_seconds = WATCH_SECONDS
         self.call_started_at: float = 0
@@ -209,17 +207,14 @@
     async def read_all(self) -> None:
         """Read all objects.
 
-        The first list may be stale: later calls, or the state that readers
-        publish, close the gap. Later lists must be fresh, as a stale one
+        A stale list would contain targets that have left and keys that were
+        withdrawn, which this daemon may have known before a restart, and
         would revert changes that were already applied.
         """
-        is_first_list = self.unavailable_since is None and not self.has_listed
         read_result = await self.source.list_all(
-            self.kind,
-            is_stale_allowed=is_first_list,
+            self.kind, is_stale_allowed=False
         )
         self.handle_success()
-        self.has_listed = True
         if read_result.revision >= self.revision:
             self.revision = read_result.revision
             self.on_full_list(read_result.entries)
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -11,6 +11,9 @@
 MAX_MISMATCH_SECONDS: typing.Final = 0.7
 """Time for which the targets fingerprint of a reader may differ from the local
 one: slightly longer than the interval in which watches batch changes."""
+SETTLING_SECONDS: typing.Final = 1.5
+"""Time after the start in which a daemon is no reader, as it does not know the
+others of its zone. Its first lists are fresh."""
 CONTACT_TOLERANCE_SECONDS: typing.Final = 0.3
 """Tolerance of the time at which a reader reports to have regained contact: its
 resolution and the delay of the report."""
@@ -31,6 +34,7 @@
         watchers: Watchers of the targets and of the configuration.
         count_exchange: Provides the fleet and the fingerprints.
         local_hash: Hash of this daemon's name.
+        settled_at: Monotonic time from which it may be a reader.
         was_reader: Whether this daemon was a reader at the last check.
         was_first: Whether it was the first reader at the last check.
         mismatch_since: Since when a reader's fingerprint has differed, by
@@ -46,11 +50,12 @@
         configuration_watcher: object_watcher.ObjectWatcher,
         exchange: count_exchange.CountExchange,
     ) -> None:
-        """Initialize as a reader, as no other daemon is known yet."""
+        """Initialize as no reader, as no other daemon is known yet."""
         self.watchers = (target_watcher, configuration_watcher)
         self.count_exchange = exchange
         self.local_hash = digest.hash_name(exchange.fleet.local_member.name)
-        self.was_reader = True
+        self.settled_at = clock.monotonic() + SETTLING_SECONDS
+        self.was_reader = False
         self.was_first = True
         self.mismatch_since: dict[int, float] = {}
         self.handled_mismatches: dict[int, tuple[int, int]] = {}
@@ -60,6 +65,8 @@
 
     def is_reader(self) -> bool:
         """Return whether this daemon is a reader of its zone."""
+        if clock.monotonic() < self.settled_at:
+            return False
         return self.local_hash in self.count_exchange.fleet.reader_hashes()
 
     def reconcile(self) -> list[int]:
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -30,6 +30,7 @@
         self.task = asyncio.create_task(self.watcher.run())
         await self.wait_until_read(1)
         self.source.stale_revision = self.source.revision
+        self.source.fresh_calls = 0
 
     async def asyncTearDown(self) -> None:
         """Stop watching."""
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -319,3 +319,37 @@
             [call.args for call in list_all.mock_calls],
             [(kind, True)],
         )
+
+
+class TestRestart(edge_daemon_case.EdgeDaemonCase):
+    """A daemon that starts must not use what was withdrawn before.
+
+    Answers that may be stale still contain it, and the store may fall silent
+    right after the first lists were read.
+    """
+
+    async def test_left_target_and_withdrawn_key_stay_unused(self) -> None:
+        await self.add_target('t-1', 'reads')
+        await self.add_target('t-2', 'reads')
+        self.source.stale_revision = self.source.revision
+        await self.source.apply_change('servers', source.Entry('t-1', None))
+        accounts = platform_objects.configuration()['tenants'][:1]
+        await self.configure(
+            platform_objects.configuration(2, tenants=accounts)
+        )
+        self.enterContext(
+            mock.patch.object(
+                self.source, 'watch', side_effect=self.leave_unanswered
+            )
+        )
+        edge_daemon = await self.start_daemon(1)
+        directory = edge_daemon.components.directory
+        self.assertEqual(directory.target_names(), {'t-2'})
+        self.assertEqual(
+            [*directory.configuration.account_by_key],
+            [platform_objects.FIRST_KEY],
+        )
+
+    async def leave_unanswered(self, *_args: object, **_kw: object) -> None:
+        """Never answer a watch."""
+        await self.source.leave_unanswered(0)
