Send a request again that all its targets turned away

Cause: a request spent all attempts of its route on targets that turned it away within milliseconds, and was refused with seconds left before its deadline, while other targets or the same ones soon had room (log of: two targets in 12 ms).

Change: if no target may have run it, the request is sent again after a pause of 0.1 s or when the first paused target accepts requests, at most three times, to the targets that it was already sent to once the route allows no others, from the retry budget, on a new connection, and only if enough time is left for an answer. Else it is refused at once, and Retry-After states when the first pause ends (proxy/resend_policy.py).

Ruled out: a further target beyond the attempts of the route; the kept connection to the same target, on which a copy of the refusal has the identifier of the request.

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -78,16 +78,20 @@
     ) -> target_connection.TargetConnection:
         """Return an idle or a new connection to a target.
 
+        A request that the target turned away gets a new connection: on the
+        former one a copy of the refusal could be taken for its answer.
+
         Raises:
             TargetError: If none opens in time; nothing was sent.
         """
         registration = target.registration
         address = (registration.host, registration.port)
-        connection = await self.connection_pool.acquire_idle(
-            address, max_idle_seconds(context, target)
-        )
-        if connection is not None:
-            return connection
+        if registration.name not in context.sent_targets:
+            connection = await self.connection_pool.acquire_idle(
+                address, max_idle_seconds(context, target)
+            )
+            if connection is not None:
+                return connection
         timeout_seconds = min(
             CONNECT_SECONDS, max(0, context.remaining_seconds)
         )
--- a/sapphirepaddle/proxy/request_context.py
+++ b/sapphirepaddle/proxy/request_context.py
@@ -24,7 +24,9 @@
             monotonic clock.
         tried_targets: Names of the targets that it was sent to or that could
             not be reached.
+        sent_targets: Names of the targets that it was sent to.
         send_count: How often it was sent.
+        resend_count: How often it was sent again after a pause.
         connecting_count: Attempts that still connect and may send it.
         may_have_run: Whether a target may have run it.
         failure_answer: A target's own failure, passed on if no target gives a
@@ -40,7 +42,9 @@
     cost_weights: cost_weights.CostWeights
     deadline: float
     tried_targets: set[str] = dataclasses.field(default_factory=set)
+    sent_targets: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
+    resend_count: int = 0
     connecting_count: int = 0
     may_have_run: bool = False
     failure_answer: http_message.ReceivedAnswer | None = None
@@ -55,6 +59,19 @@
         """Return whether its attempts use up what the route allows."""
         return self.send_count + self.connecting_count >= self.route.attempts
 
+    def prepare_resend(self) -> None:
+        """Allow the targets to which the request may be sent once more.
+
+        These are all targets, or those that it was already sent to if the
+        route allows no more of them.
+        """
+        self.resend_count += 1
+        self.tried_targets = set()
+        if len(self.sent_targets) >= self.route.attempts:
+            self.tried_targets = (
+                self.service_targets.candidates.keys() - self.sent_targets
+            )
+
     @property
     def account_name(self) -> str:
         """Return the name of the client account; empty for none."""
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -10,6 +10,7 @@
     attempt_result,
     http_message,
     request_context,
+    resend_policy,
 )
 from sapphirepaddle.routing import candidate
 from sapphirepaddle.telemetry import decisions
@@ -108,12 +109,55 @@
                     and result.answer is not None
                 ):
                     return result.answer
-            if self.may_retry(context, is_hedge=bool(running)):
+            if await self.may_start(context, is_hedge=bool(running)):
                 running.add(self.start(context))
             elif not done:
                 await asyncio.wait(running)
         return final_answer(context)
 
+    async def may_start(
+        self, context: request_context.RequestContext, is_hedge: bool
+    ) -> bool:
+        """Return whether to start a further attempt, possibly after a wait."""
+        if self.may_retry(context, is_hedge):
+            return True
+        return not is_hedge and await self.wait_for_room(context)
+
+    async def wait_for_room(
+        self, context: request_context.RequestContext
+    ) -> bool:
+        """Wait until a request that did not run may be sent again.
+
+        Returns:
+            Whether it may be sent; False without a wait if it cannot be
+            answered in time or no target may accept it.
+        """
+        targets = context.service_targets
+        now = clock.monotonic()
+        if context.may_have_run or not targets.may_have_room(now):
+            return False
+        pause_seconds = resend_policy.resend_pause(
+            context.resend_count,
+            context.remaining_seconds,
+            targets.typical_seconds,
+            context.route.latency_objective_seconds,
+            targets.seconds_until_room(now),
+            targets.rng,
+        )
+        if pause_seconds is None or not self.try_acquire_retry(context.service):
+            return False
+        self.decisions.log_decision(
+            'wait',
+            request=context.identifier,
+            service=context.service,
+            seconds=round(pause_seconds, 3),
+            sends=context.send_count,
+            left=round(context.remaining_seconds, 3),
+        )
+        await asyncio.sleep(pause_seconds)
+        context.prepare_resend()
+        return True
+
     def hedge_timeout(
         self,
         context: request_context.RequestContext,
@@ -219,6 +263,7 @@
     ) -> attempt_result.AttemptResult:
         """Send the request to the chosen target and record the result."""
         context.send_count += 1
+        context.sent_targets.add(target.registration.name)
         started_at = clock.monotonic()
         target.local_outstanding += 1
         target.record_request(started_at)
@@ -359,11 +404,8 @@
 
     If all targets are paused, it is when the first pause ends.
     """
-    now = clock.monotonic()
-    targets = context.service_targets
-    if targets.has_alternative(frozenset(), now):
-        return RETRY_AFTER_SECONDS
-    return max(RETRY_AFTER_SECONDS, targets.seconds_until_room(now))
+    room_seconds = context.service_targets.seconds_until_room(clock.monotonic())
+    return max(RETRY_AFTER_SECONDS, room_seconds)
 
 
 NO_EVIDENCE_AGE_SECONDS: typing.Final = 999.0
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -149,20 +149,26 @@
         )
 
     def seconds_until_room(self, now: float) -> float:
-        """Return the seconds until the first pause of a target ends.
+        """Return the seconds until a target may be used; 0 if one may be.
 
-        It is 0 if no target is paused.
+        It is 0 also if no pause of a target will end in time.
         """
         return min(
             (
-                target.avoided_until - now
+                max(0, target.avoided_until - now)
                 for target in self.candidates.values()
-                if target.avoided_until > now
-                and self.may_send(target, target.avoided_until)
+                if self.may_send(target, max(now, target.avoided_until))
             ),
             default=0,
         )
 
+    def may_have_room(self, now: float) -> bool:
+        """Return whether a target may be used, now or after its pause."""
+        return any(
+            self.may_send(target, max(now, target.avoided_until))
+            for target in self.candidates.values()
+        )
+
     def choose(
         self,
         excluded: abc.Container[str],
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -5,7 +5,7 @@
 import typing
 
 from sapphirepaddle.settings import edge
-from soak import observations, testbed_settings
+from soak import notice_checker, observations, testbed_settings
 
 SETTLE_SECONDS: typing.Final = 3.0
 """A time bound applies only if nothing disturbed its subjects for this long."""
@@ -41,6 +41,9 @@
         self.check_draining()
         self.check_keys()
         self.check_planned_stops(arrivals)
+        notices = notice_checker.NoticeChecker(self.observations, self.bounds)
+        for rule, detail in notices.find_violations():
+            self.add_finding(rule, detail)
         return self.findings
 
     def add_finding(self, rule: str, detail: str) -> None:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -69,6 +69,24 @@
     is_failed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What a target stated about itself in an answer.
+
+    Attributes:
+        identifier: Identifier of the answered request.
+        target: Name of the target.
+        at: When it answered, in seconds on the monotonic clock.
+        pause_seconds: Time for which it wants no requests of the daemon; 0 if
+            it stated that it leaves.
+    """
+
+    identifier: str
+    target: str
+    at: float
+    pause_seconds: float = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
     """A period in which a fault or planned work affected a subject.
@@ -94,6 +112,7 @@
     Attributes:
         requests: Requests of callers by identifier.
         arrivals: Arrivals at targets.
+        statements: What targets stated about themselves.
         disturbances: Faults and planned work.
         acked_changes: Time, kind and subject of each change that the store
             acknowledged.
@@ -101,6 +120,7 @@
 
     requests: dict[str, SentRequest] = dataclasses.field(default_factory=dict)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    statements: list[Statement] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     acked_changes: list[tuple[float, str, str]] = dataclasses.field(
         default_factory=list,
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -86,11 +86,13 @@
             for number in range(size.callers)
         ]
         partitions = fault_schedule.partition_datagrams(system, until)
+        notices = fault_schedule.make_notices(system, until)
         stale_reads = fault_schedule.make_reads_stale(system, until)
         await asyncio.gather(
             fault_schedule.run(system),
             partitions,
             stale_reads,
+            notices,
             *running_callers,
         )
     finally:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,17 @@
     return inject
 
 
+NOTICES: dict[str, Fault] = {}
+"""Kinds of faults in which targets state something in their answers. They run
+beside the scheduled ones, so that seeds keep the schedules that they had."""
+
+
+def notice(inject: Fault) -> Fault:
+    """Register a kind of notice under the name of its function."""
+    NOTICES[inject.__name__] = inject
+    return inject
+
+
 ScheduledFault = tuple[float, str, float]
 """Seconds from the start of the run, kind, and length in seconds."""
 
@@ -29,6 +40,9 @@
 """Separates the seeds of datagram partitions from those of the faults."""
 STALE_SEED_STRIDE = 2000
 """Separates the seeds of stale reads from those of the faults."""
+NOTICE_SEED_STRIDE = 3000
+"""Separates the seeds of the notices of targets from those of the faults."""
+MEAN_NOTICE_PAUSE_SECONDS = 2.5
 MEAN_STALE_PAUSE_SECONDS = 4.0
 MAX_STALE_SECONDS = 5.0
 
@@ -40,6 +54,8 @@
         scheduled_faults: Faults in the order of their start.
         partition_rng: Draws the datagram partitions, which run beside the
             scheduled faults.
+        notice_rng: Draws the notices of targets, which run beside the scheduled
+            faults.
         stale_rng: Draws the periods of stale reads of the store, which run
             beside the scheduled faults as well.
     """
@@ -54,6 +70,7 @@
             self.scheduled_faults.append((at, kind, rng.uniform(0.5, 5)))
             at += rng.expovariate(1 / 1.2)
         self.partition_rng = random.Random(seed * PARTITION_SEED_STRIDE + 1)
+        self.notice_rng = random.Random(seed * NOTICE_SEED_STRIDE + 1)
         self.stale_rng = random.Random(seed * STALE_SEED_STRIDE + 1)
 
     async def run(self, system: testbed.Testbed) -> None:
@@ -62,7 +79,7 @@
         tasks = []
         for at, kind, seconds in self.scheduled_faults:
             await asyncio.sleep(max(0, start + at - time.monotonic()))
-            injection = FAULTS[kind](system, seconds)
+            injection = (FAULTS | NOTICES)[kind](system, seconds)
             tasks.append(asyncio.create_task(injection))
         await asyncio.gather(*tasks)
 
@@ -85,6 +102,17 @@
             )
             system.datagram_partitions.replace_links(())
 
+    async def make_notices(self, system: testbed.Testbed, until: float) -> None:
+        """Let targets state that they leave or want a pause, repeatedly."""
+        rng = self.notice_rng
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / MEAN_NOTICE_PAUSE_SECONDS))
+            seconds = rng.uniform(3, 5)
+            if time.monotonic() + seconds > until:
+                return
+            kind = rng.choice(sorted(NOTICES))
+            await NOTICES[kind](system, seconds)
+
     async def make_reads_stale(
         self, system: testbed.Testbed, until: float
     ) -> None:
@@ -249,6 +277,37 @@
         )
 
 
+@notice
+async def turn_away(system: testbed.Testbed, seconds: float) -> None:
+    """Let some targets turn requests away and state pauses."""
+    start = time.monotonic()
+    candidates = sorted(system.targets)
+    names = system.rng.sample(candidates, len(candidates) // 3)
+    for name in names:
+        system.targets[name].faults.pause_seconds = system.rng.uniform(1, 3)
+    await asyncio.sleep(seconds)
+    for name in names:
+        system.record_disturbance('turn away', name, start)
+        if name in system.targets:
+            system.targets[name].faults = target.TargetFaults()
+
+
+@notice
+async def leave(system: testbed.Testbed, seconds: float) -> None:
+    """Let a target state that it leaves, without a change of its entry."""
+    candidates = sorted(system.targets)
+    if len(candidates) < testbed.TARGETS_PER_SERVICE:
+        return
+    start = time.monotonic()
+    leaving = system.targets.pop(system.rng.choice(candidates))
+    leaving.is_leaving = True
+    await system.add_target(leaving.service)
+    await asyncio.sleep(seconds)
+    await system.write_target(leaving.name, None)
+    await leaving.stop()
+    system.record_disturbance('leave', leaving.name, start)
+
+
 @fault
 async def configure(system: testbed.Testbed, _seconds: float) -> None:
     """Write up to three configurations in quick succession."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -19,11 +19,14 @@
         failure_ratio: Ratio of requests that fail, from 0 to 1.
         failure: How they fail, one of FAILURES.
         slowdown_factor: Factor of the execution time of every request.
+        pause_seconds: Time that it states when it turns a request away; 0 if
+            it turns none away.
     """
 
     failure_ratio: float = 0
     failure: str = 'error'
     slowdown_factor: float = 1
+    pause_seconds: float = 0
 
 
 class Target:
@@ -39,6 +42,7 @@
         rng: Source of randomness.
         faults: Faults in effect.
         in_flight: Number of requests being executed.
+        is_leaving: Whether it states in its answers that it leaves.
         port: Port that it listens on.
         writers: Writers of the open connections.
         started_ms: Start of the incarnation in Unix milliseconds.
@@ -62,6 +66,7 @@
         self.rng = rng
         self.faults = TargetFaults()
         self.in_flight = 0
+        self.is_leaving = False
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.started_ms = int(time.time() * 1000)
@@ -128,7 +133,10 @@
         if headers['x-expect-instance'] != self.name:
             writer.write(answer(421, b'', identifier, 'X-Instance-Id: other'))
             return
-        is_overloaded = self.in_flight >= self.slots * 3
+        is_pausing = self.faults.pause_seconds > 0 and (
+            self.rng.random() < TURNED_AWAY_RATIO
+        )
+        is_overloaded = is_pausing or self.in_flight >= self.slots * 3
         is_failing = (
             not is_overloaded and self.rng.random() < self.faults.failure_ratio
         )
@@ -145,6 +153,9 @@
                 is_failed=is_failing,
             ),
         )
+        if is_pausing:
+            self.write_pause(identifier, writer)
+            return
         if is_overloaded:
             writer.write(answer(503, b'', identifier, 'X-Not-Executed: 1'))
             return
@@ -153,9 +164,32 @@
             await self.write_failure(identifier, writer)
             return
         body = testbed_settings.answer_body(identifier)
-        writer.write(answer(200, body, identifier, STAMP))
+        header_lines = STAMP
+        if self.is_leaving:
+            header_lines = f'{STAMP}\r\nServer-Leaving: 1'
+            self.record_statement(identifier)
+        writer.write(answer(200, body, identifier, header_lines))
         await writer.drain()
 
+    def write_pause(
+        self, identifier: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Turn a request away and state a pause."""
+        seconds = self.faults.pause_seconds
+        self.record_statement(identifier, seconds)
+        header_lines = f'X-Not-Executed: 1\r\nRetry-After: {seconds:.2f}'
+        writer.write(answer(503, b'', identifier, header_lines))
+
+    def record_statement(
+        self, identifier: str, pause_seconds: float = 0
+    ) -> None:
+        """Record what an answer states about the target."""
+        self.observations.statements.append(
+            observations.Statement(
+                identifier, self.name, time.monotonic(), pause_seconds
+            )
+        )
+
     async def simulate_work(self) -> None:
         """Wait for the execution time of one request."""
         self.in_flight += 1
@@ -192,6 +226,8 @@
             writer.transport.abort()
 
 
+TURNED_AWAY_RATIO = 0.5
+"""Ratio of requests that a target with a pause turns away."""
 STAMP = 'X-Response-Stamp: stamp'
 
 
--- a/tests/edge/test_target_notices.py
+++ b/tests/edge/test_target_notices.py
@@ -242,3 +242,30 @@
         self.assertEqual(self.arrivals('o-1'), 1)
         targets = self.daemon.components.directory.service_targets('orders')
         self.assertLess(targets.candidates['o-1'].avoided_until, 0)
+
+
+class TestLapsedTarget(NoticesCase):
+    """A target whose entry lapses keeps the requests that it runs."""
+
+    async def test_running_request_is_answered(self) -> None:
+        started = asyncio.Event()
+        finish = asyncio.Event()
+
+        async def answer_late(
+            received: scripted_target.ReceivedRequest,
+        ) -> None:
+            started.set()
+            await finish.wait()
+            received.answer()
+
+        for name in ('o-1', 'o-2'):
+            self.targets[name].script = answer_late
+        order = asyncio.create_task(self.order('slow'))
+        await started.wait()
+        directory = self.daemon.components.directory
+        for name in ('o-1', 'o-2'):
+            await self.source.apply_change('servers', source.Entry(name, None))
+        await self.wait_until(lambda: directory.target_names() == {'t-1'})
+        finish.set()
+        self.assertEqual((await order).status, 200)
+        self.assertEqual(self.arrivals('o-1') + self.arrivals('o-2'), 1)
--- a/tests/proxy/test_sender.py
+++ b/tests/proxy/test_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import sys
 import typing
 import unittest
 from unittest import mock
@@ -13,6 +14,7 @@
     attempt_result,
     request,
     request_context,
+    resend_policy,
     sender,
 )
 from sapphirepaddle.routing import candidate, cost_weights, service_targets
@@ -220,3 +222,139 @@
                 clock.monotonic(),
             ),
         )
+
+
+class RefusingAttempts(SlowAttempts):
+    """Attempts that targets turn away until one has room.
+
+    Attributes:
+        room_after: Number of sendings before the first that is accepted.
+        connected: Names of the targets connected to, with whether the request
+            had been sent there before.
+    """
+
+    def __init__(self, room_after: int) -> None:
+        """Initialize without attempts."""
+        super().__init__([])
+        self.room_after = room_after
+        self.connected: list[tuple[str, bool]] = []
+
+    async def connect(
+        self, context: request_context.RequestContext, target: object
+    ) -> None:
+        """Open a connection."""
+        assert isinstance(target, candidate.Candidate)
+        name = target.registration.name
+        self.connected.append((name, name in context.sent_targets))
+
+    async def send(
+        self,
+        context: request_context.RequestContext,
+        target: candidate.Candidate,
+        connection: object,
+    ) -> attempt_result.AttemptResult:
+        """Turn a request away, or lose its answer once there is room."""
+        if len(self.sent) >= self.room_after:
+            return await super().send(context, target, connection)
+        self.sent.append(target.registration.name)
+        return attempt_result.AttemptResult(
+            attempt_result.AttemptResultKind.NOT_RUN, 'refused 503'
+        )
+
+
+class TestTurnedAway(SenderCase):
+    """A request turned away at all its targets is sent again after a pause.
+
+    It goes to no further target than the route allows, and only while none
+    may have run it.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Allow pauses of the length that real objectives allow."""
+        self.enterContext(
+            mock.patch.object(sys.modules[__name__], 'OBJECTIVE_SECONDS', 1)
+        )
+
+    async def test_sent_again_to_the_same_targets(self) -> None:
+        attempts = RefusingAttempts(room_after=3)
+        context = self.build_context()
+        sent = await self.run_attempts(attempts, context)
+        self.assertEqual(len(sent), 4)
+        self.assertEqual(len(set(sent)), context.route.attempts)
+        self.assertEqual(
+            [was_sent for _, was_sent in attempts.connected],
+            [False, False, True, True],
+        )
+
+    async def test_not_sent_again_after_it_may_have_run(self) -> None:
+        sent = await self.run_attempts(
+            RefusingAttempts(room_after=2), self.build_context()
+        )
+        self.assertEqual(len(sent), 3)
+
+    async def test_number_of_resends_is_bounded(self) -> None:
+        context = self.build_context()
+        sent = await self.run_attempts(RefusingAttempts(room_after=99), context)
+        self.assertEqual(
+            len(sent), context.route.attempts + resend_policy.MAX_RESENDS
+        )
+        self.assertFalse(context.may_have_run)
+
+    async def test_refused_at_once_without_time_for_an_answer(self) -> None:
+        context = self.build_context()
+        context.service_targets.record_latency(5)
+        sent = await self.run_attempts(RefusingAttempts(room_after=99), context)
+        self.assertEqual(len(sent), 2)
+
+    async def test_refused_at_once_if_no_target_may_be_used(self) -> None:
+        context = self.build_context()
+        for target in context.service_targets.candidates.values():
+            target.record_pause(30, clock.monotonic())
+        sent = await self.run_attempts(RefusingAttempts(room_after=99), context)
+        self.assertEqual(sent, [])
+
+    async def test_waits_until_a_pause_ends(self) -> None:
+        context = self.build_context()
+        for target in context.service_targets.candidates.values():
+            target.record_pause(0.2, clock.monotonic())
+        sent = await self.run_attempts(RefusingAttempts(room_after=0), context)
+        self.assertEqual(len(sent), 2)
+
+
+class TestResendPolicy(unittest.TestCase):
+    """Pauses grow, differ between requests and leave time for an answer."""
+
+    def pauses(self, resend_count: int, **changed: float) -> list[float | None]:
+        """Return pauses drawn for many requests."""
+        fields = {
+            'remaining_seconds': 5.0,
+            'typical_seconds': 0.2,
+            'objective_seconds': 1.0,
+            'room_seconds': 0.0,
+        } | changed
+        rng = random.Random(1)
+        return [
+            resend_policy.resend_pause(resend_count, **fields, rng=rng)
+            for _ in range(50)
+        ]
+
+    def test_range(self) -> None:
+        for count, longest in enumerate((0.1, 0.2, 0.4)):
+            pauses = self.pauses(count)
+            self.assertTrue(
+                all(longest / 2 <= pause <= longest for pause in pauses)
+            )
+            self.assertGreater(len(set(pauses)), 40)
+
+    def test_starts_when_there_is_room(self) -> None:
+        pauses = self.pauses(0, room_seconds=0.5)
+        self.assertTrue(all(0.55 <= pause <= 0.6 for pause in pauses))
+
+    def test_none_if_too_long(self) -> None:
+        for changed in (
+            {'room_seconds': 1.0},
+            {'remaining_seconds': 0.24},
+            {'typical_seconds': 4.96},
+        ):
+            self.assertEqual(set(self.pauses(0, **changed)), {None})
+        self.assertEqual(set(self.pauses(resend_policy.MAX_RESENDS)), {None})
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -63,6 +63,15 @@
         )
         self.assertIn('MIXED', violated)
 
+    def test_statements_of_targets_ignored(self) -> None:
+        violated = violated_rules(
+            'from sapphirepaddle.proxy import target_notices\n'
+            'target_notices.TargetNotices.apply = lambda *args: None\n',
+            'leave',
+            'turn_away',
+        )
+        self.assertLessEqual({'DRAIN', 'BUDGET'}, violated)
+
     def test_key_passed_on(self) -> None:
         violated = violated_rules(
             'from sapphirepaddle.platform import header_codec\n'
