--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -4,7 +4,7 @@
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import object_watcher, source
-from sapphirepaddle.edge import daemon, reader_role
+from sapphirepaddle.edge import change_relay, daemon, reader_role
 from sapphirepaddle.peers import answer_runs
 from tests.support import edge_daemon_case, platform_objects
 
@@ -86,6 +86,13 @@
         await self.drain()
         await self.wait_until_all_drain()
 
+    async def test_missed_changes_are_read(self) -> None:
+        self.enterContext(
+            mock.patch.object(change_relay.ChangeRelay, 'handle_changes')
+        )
+        await self.drain()
+        await self.wait_until_all_drain()
+
     async def test_readers_relay_changes(self) -> None:
         # Without relayed changes the others would wait for an hour.
         self.enterContext(
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -31,6 +31,12 @@
     prelude: str
 
 
+WITHOUT_RELAY = (
+    'from sapphirepaddle.edge import change_relay\n'
+    'change_relay.ChangeRelay.handle_changes = lambda self, message: None\n'
+)
+"""Code with which daemons ignore the changes that readers relay."""
+
 MUTATIONS = (
     Mutation(
         'idempotency keys are claimed',
@@ -248,7 +254,8 @@
         'test_calls_unanswered_in_an_outage_are_replaced',
         'from sapphirepaddle.edge import reader_role\n'
         'reader_role.ReaderRole.replace_unanswered_calls = lambda self: None\n'
-        'reader_role.ReaderRole.readers_ahead = lambda self: []',
+        'reader_role.ReaderRole.readers_ahead = lambda self: []\n'
+        + WITHOUT_RELAY,
     ),
     Mutation(
         'edge: bodies of answers share a memory budget',
@@ -333,11 +340,54 @@
     ),
     Mutation(
         'edge: daemons behind a reader read again',
-        'edge.test_reader_role.TestReaderRole.'
-        'test_other_daemons_follow_readers',
+        'edge.test_reader_role.TestReaderRole.test_missed_changes_are_read',
         'from sapphirepaddle.edge import reader_role\n'
         'reader_role.ReaderRole.readers_ahead = lambda self: []',
     ),
+    Mutation(
+        'edge: readers relay changes',
+        'edge.test_reader_role.TestReaderRole.test_readers_relay_changes',
+        WITHOUT_RELAY,
+    ),
+    Mutation(
+        'edge: an odd entry hides no other',
+        'edge.test_odd_entries',
+        'from sapphirepaddle.platform import object_parser\n'
+        'import orjson\n'
+        'object_parser.parse = orjson.loads',
+    ),
+    Mutation(
+        'edge: a refusal without identifier needs a new connection',
+        'edge.test_repeated_refusals',
+        'from sapphirepaddle.proxy import attempt\n'
+        'attempt.AttemptRunner.is_answer_to = (\n'
+        '    lambda self, identifier, status, headers, is_new: True)',
+    ),
+    Mutation(
+        'edge: statements of targets are obeyed',
+        'edge.test_target_notices.TestPauses',
+        'from sapphirepaddle.proxy import target_notices\n'
+        'target_notices.TargetNotices.apply = lambda *args: None',
+    ),
+    Mutation(
+        'edge: what a former target stated is kept',
+        'edge.test_target_notices.TestLeaving.'
+        'test_entry_that_returns_names_the_same_incarnation',
+        'from sapphirepaddle.routing import service_targets\n'
+        'service_targets.MAX_FORMER_CANDIDATES = 0',
+    ),
+    Mutation(
+        'edge: a request turned away is sent again',
+        'proxy.test_sender.TestTurnedAway',
+        'from sapphirepaddle.proxy import resend_policy\n'
+        'resend_policy.MAX_RESENDS = 0',
+    ),
+    Mutation(
+        'edge: late answers have a cost',
+        'routing.test_lateness.TestBurst',
+        'from sapphirepaddle.routing import lateness\n'
+        'lateness.late_probability = lambda expected, objective: 0',
+    ),
     Mutation(
         'edge: lost readers are replaced',
         'edge.test_reader_role.TestReaderRole.test_lost_readers_are_replaced',
