--- a/sapphirepaddle/platform/header_codec.py
+++ b/sapphirepaddle/platform/header_codec.py
@@ -75,9 +75,9 @@
         requests away.
         """
         header_values = group_by_name(headers)
-        rest_text = last_value(header_values, names.RETRY_AFTER)
-        has_rest = bool(rest_text) and status == names.TURNED_AWAY_STATUS
-        rest_seconds = parse_rest_seconds(rest_text) if has_rest else None
+        pause_text = last_value(header_values, names.RETRY_AFTER)
+        has_pause = bool(pause_text) and status == names.TURNED_AWAY_STATUS
+        pause_seconds = parse_pause_seconds(pause_text) if has_pause else None
         leaving_text = last_value(header_values, names.LEAVING).strip()
         is_misdirected = status == names.MISDIRECTED_STATUS
         return header_codec.AnswerMetadata(
@@ -95,13 +95,13 @@
                 last_value(header_values, names.KEEP_ALIVE)
             ),
             is_leaving=leaving_text == names.LEAVING_VALUE,
-            rest_seconds=rest_seconds,
+            pause_seconds=pause_seconds,
             malformed_headers=tuple(
                 itertools.compress(
                     OPTIONAL_HEADERS,
                     (
                         leaving_text not in VALID_LEAVING_VALUES,
-                        has_rest and rest_seconds is None,
+                        has_pause and pause_seconds is None,
                     ),
                 )
             ),
@@ -180,7 +180,7 @@
     return None
 
 
-def parse_rest_seconds(text: bytes) -> float | None:
+def parse_pause_seconds(text: bytes) -> float | None:
     """Return the seconds of a Retry-After header; None if malformed."""
     text = text.strip()
     return float(text) if SECONDS.fullmatch(text) else None
--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -220,7 +220,7 @@
             return AttemptResult(
                 AttemptResultKind.NOT_RUN,
                 f'refused {answer.status}',
-                is_pause_stated=bool(metadata.rest_seconds),
+                is_pause_stated=bool(metadata.pause_seconds),
             )
         if answer.status in SUCCESS_STATUSES:
             return classify_success(context, metadata, answer)
--- a/sapphirepaddle/proxy/header_codec.py
+++ b/sapphirepaddle/proxy/header_codec.py
@@ -51,7 +51,7 @@
         idle_seconds: Keep-alive time of the target's idle connections; None if
             not stated.
         is_leaving: Whether the target states that it is shutting down.
-        rest_seconds: Time for which the target wants no requests of this
+        pause_seconds: Time for which the target wants no requests of this
             daemon; None if not stated.
         malformed_headers: Names of headers that were ignored as malformed.
     """
@@ -63,7 +63,7 @@
     is_encoded: bool
     idle_seconds: float | None
     is_leaving: bool = False
-    rest_seconds: float | None = None
+    pause_seconds: float | None = None
     malformed_headers: tuple[str, ...] = ()
 
 
--- a/sapphirepaddle/proxy/target_notices.py
+++ b/sapphirepaddle/proxy/target_notices.py
@@ -61,8 +61,8 @@
                 said_by='answer',
             )
             self.on_leaving(target)
-        if metadata.rest_seconds:
-            self.apply_pause(context, target, metadata.rest_seconds, now)
+        if metadata.pause_seconds:
+            self.apply_pause(context, target, metadata.pause_seconds, now)
 
     def apply_pause(
         self,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -170,7 +170,7 @@
         metadata = self.header_codec.read_answer(status, [*headers])
         return (
             metadata.is_leaving,
-            metadata.rest_seconds,
+            metadata.pause_seconds,
             metadata.malformed_headers,
         )
 
