--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,18 +8,18 @@
 
 import testbed as testbeds
 
-SILENT_FROM_SECONDS = 0.2
+SILENT_FROM_SECONDS = 0.25
 """Start of the silence, after the ack of a configuration."""
-SILENT_SECONDS = 0.8
+SILENT_SECONDS = 0.4
 STABLE_SECONDS = 4.0
 """Time from the end of the silence to the withdrawal: `stabilityWindowS`, and a
 second."""
 APPLY_SECONDS = 2.0
 """`configApplyS`."""
-PROBE_SECONDS = 12.0
+PROBE_SECONDS = 5.0
 """Time for which the withdrawn key is tried after `APPLY_SECONDS`."""
-ROUNDS = 3
-ROUND_SECONDS = 30.0
+ROUNDS = 6
+ROUND_SECONDS = 14.5
 
 
 async def play(testbed, has_trouble):
