--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,9 +13,9 @@
 TIMEOUT_SECONDS = 1.2
 """`timeoutS` of the route."""
 LATE_SECONDS = 0.5
-WRITES = 6
-WRITE_PERIOD_SECONDS = 1.5
-"""`heartbeatS`."""
+WRITES = 10
+WRITE_PERIOD_SECONDS = 0.75
+"""Half of `heartbeatS`."""
 REQUEST_PERIOD_SECONDS = 0.05
 WORK_SECONDS = 0.3
 MIN_LATE = 8
