--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """The store is silent for a moment; the next withdrawal of a key is missed."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -75,4 +76,6 @@
     return True
 
 
-testbeds.main(__file__, play, daemon_count=3)
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
+testbeds.main(__file__, play, daemon_count=3, has_trouble=HAS_TROUBLE)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """One odd entry of another writer stops all daemons for seconds."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -88,4 +89,6 @@
     return len(late) < MIN_LATE or len(late) <= MIN_LATE_SHARE * len(long)
 
 
-testbeds.main(__file__, play, daemon_count=3)
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
+testbeds.main(__file__, play, daemon_count=3, has_trouble=HAS_TROUBLE)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A planned stop discards answers that wait behind a slow one."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -90,4 +91,6 @@
     return not any(lost)
 
 
-testbeds.main(__file__, play, daemon_count=2)
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
+testbeds.main(__file__, play, daemon_count=2, has_trouble=HAS_TROUBLE)
--- a/review/testbed.py
+++ b/review/testbed.py
@@ -520,7 +520,7 @@
                 daemon.process.wait()
 
 
-def main(script, play, daemon_count):
+def main(script, play, daemon_count, has_trouble):
     """Run a case and exit with 1 if the rule was broken, 0 if it held.
 
     Args:
@@ -528,8 +528,8 @@
         play: Coroutine function that gets the testbed and whether there is
             a disruption, and returns whether the rule held.
         daemon_count: Number of machines.
+        has_trouble: Whether the disruption takes place.
     """
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = Record(pathlib.Path(script).resolve().parent / 'record.txt')
     status = NOT_RUN
     with tempfile.TemporaryDirectory() as folder:
