Configuration: the first reader of a zone notices a swallowed watch

Cause: all daemons make their next watch call for the configuration 0.4 to 0.6 s after a change. A call that a silent store received is never answered, and it was waited for 21 s. The silence showed only to a target watch that fell into it. Ruled out: the comparison of versions with peers (no daemon had the version), decoding (the version was never read).

Change: the first reader of a zone watches the configuration for 1 s at a time; a call that timed out is repeated at once; a daemon whose own call was pending before its peers' newer version reads it after 0.3 instead of 0.7 s. The watch of paddle-entry, which waited 10 s for the same kind of call, waits 2 s.

--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -21,6 +21,7 @@
         is_unavailable: Whether calls fail, to simulate an outage.
         is_silent: Whether new calls are never answered, to simulate another
             kind of outage.
+        silent_kind: Kind of objects for which new calls are never answered.
         unanswered_calls: Number of calls that were never answered.
         changed: Condition notified at each change.
         calls: Number of calls made.
@@ -37,6 +38,7 @@
         self.oldest_watch_revision = 0
         self.is_unavailable = False
         self.is_silent = False
+        self.silent_kind = ''
         self.unanswered_calls = 0
         self.changed = asyncio.Condition()
         self.calls = 0
@@ -61,7 +63,7 @@
     ) -> source.ReadResult:
         """Return all objects of a kind."""
         self.record_call(is_stale_allowed)
-        if self.is_silent:
+        if self.is_silent or kind == self.silent_kind:
             await self.leave_unanswered(0)
         if is_stale_allowed and self.stale_revision is not None:
             return self.list_at_revision(kind, self.stale_revision)
@@ -91,7 +93,7 @@
     ) -> source.ReadResult:
         """Wait for changes after a revision; no entries after the timeout."""
         self.record_call(is_stale_allowed)
-        if self.is_silent:
+        if self.is_silent or kind == self.silent_kind:
             await self.leave_unanswered(seconds)
         if revision < self.oldest_watch_revision:
             raise errors.HistoryLostError(kind)
--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -16,6 +16,10 @@
 """Maximum wait of a watch call by which a reader detects that the source has
 stopped answering. A call that was received in an outage may never be answered,
 so it must time out soon."""
+CONFIGURATION_WATCH_SECONDS: typing.Final = 1.0
+"""Maximum wait of a watch call for the configuration on the first reader of a
+zone. An unanswered call must time out, and the answer to the next one reach all
+daemons, within the time in which the source counts as stable again."""
 SECOND_READER_WATCH_SECONDS: typing.Final = 6.0
 """Maximum wait of a watch call on a reader whose zone has a first reader, which
 detects outages for both."""
@@ -226,6 +230,14 @@
         """
         self.revision = revision
 
+    def has_waited_since(self, moment: float) -> bool:
+        """Return whether a call was pending at a moment and still is.
+
+        Args:
+            moment: Seconds on the monotonic clock.
+        """
+        return self.watch_timeout is not None and self.call_started_at <= moment
+
     def handle_success(self) -> None:
         """Record that the source answered."""
         now = clock.monotonic()
@@ -259,12 +271,13 @@
             )
             self.on_lost()
         self.consecutive_failures += 1
-        pause_seconds = min(
-            MAX_RETRY_SECONDS, RETRY_STEP_SECONDS * self.consecutive_failures
-        )
         if self.outage_prober is None or self.outage_prober.available.is_set():
             await asyncio.sleep(
-                pause_seconds * random.uniform(MIN_JITTER_RATIO, 1)
+                retry_pause(
+                    self.consecutive_failures,
+                    clock.monotonic() - self.call_started_at,
+                )
+                * random.uniform(MIN_JITTER_RATIO, 1)
             )
             return
         with contextlib.suppress(TimeoutError):
@@ -275,3 +288,22 @@
 MIN_JITTER_RATIO: typing.Final = 0.5
 """Least part of a retry pause that remains after jitter: pauses are drawn
 between half and all of their length."""
+
+
+def retry_pause(consecutive_failures: int, call_seconds: float) -> float:
+    """Return the pause before the next call, in seconds, without jitter.
+
+    The pause after the first failure counts from the start of the failed call:
+    a call that timed out has waited long enough, and may be the only one that
+    was lost.
+
+    Args:
+        consecutive_failures: Number of failed calls since the last success.
+        call_seconds: Time since the failed call was made, in seconds.
+    """
+    pause_seconds = min(
+        MAX_RETRY_SECONDS, RETRY_STEP_SECONDS * consecutive_failures
+    )
+    if consecutive_failures == 1:
+        return max(0, pause_seconds - call_seconds)
+    return pause_seconds
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -17,6 +17,17 @@
 CONTACT_TOLERANCE_SECONDS: typing.Final = 0.3
 """Tolerance of the time at which a reader reports to have regained contact: its
 resolution and the delay of the report."""
+FIRST_WATCH_SECONDS: typing.Final = (
+    object_watcher.READER_WATCH_SECONDS,
+    object_watcher.CONFIGURATION_WATCH_SECONDS,
+)
+"""Maximum wait of a call on the first reader, for targets and configuration."""
+WATCH_SECONDS: typing.Final = (
+    object_watcher.SECOND_READER_WATCH_SECONDS,
+    object_watcher.WATCH_SECONDS,
+)
+"""Maximum wait of a call on the second reader, which learns of a newer
+configuration from the first readers of all zones."""
 
 
 class ReaderRole:
@@ -94,8 +105,9 @@
     def update_rank(self) -> None:
         """Set how long a call may wait, by the rank among the readers.
 
-        A second reader that becomes the first one replaces its call, which
-        may wait for longer.
+        The first reader detects that the source has stopped answering, also
+        for calls that only it left unanswered. A second reader that becomes
+        the first one replaces its calls, which may wait for longer.
         """
         is_first = self.count_exchange.fleet.reader_hashes()[-1] == (
             self.local_hash
@@ -103,14 +115,13 @@
         if is_first == self.was_first:
             return
         self.was_first = is_first
-        target_watcher = self.watchers[0]
-        target_watcher.reader_watch_seconds = (
-            object_watcher.READER_WATCH_SECONDS
-            if is_first
-            else object_watcher.SECOND_READER_WATCH_SECONDS
-        )
-        if is_first:
-            target_watcher.replace_call()
+        seconds_by_rank = FIRST_WATCH_SECONDS if is_first else WATCH_SECONDS
+        for watcher, watch_seconds in zip(
+            self.watchers, seconds_by_rank, strict=True
+        ):
+            watcher.reader_watch_seconds = watch_seconds
+            if is_first:
+                watcher.replace_call()
 
     def replace_unanswered_calls(self) -> None:
         """Replace calls made before a reader regained contact.
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -36,6 +36,9 @@
 """Time for which peers may have a newer configuration before it is read without
 waiting for the watch: slightly longer than the interval in which watches batch
 changes."""
+MAX_PENDING_LAG_SECONDS: typing.Final = 0.3
+"""The same while a watch call is pending that was made before: it should have
+returned the newer configuration at once, and may never be answered."""
 
 
 class StateSynchronizer:
@@ -89,6 +92,9 @@
         self.target_watcher.reader_watch_seconds = (
             object_watcher.READER_WATCH_SECONDS
         )
+        self.configuration_watcher.reader_watch_seconds = (
+            object_watcher.CONFIGURATION_WATCH_SECONDS
+        )
         self.target_watcher.batch_seconds = (
             object_watcher.RELAYED_BATCH_PAUSE_SECONDS
         )
@@ -236,10 +242,19 @@
                 await self.fetch_from_any_peer()
             elif readers and self.target_watcher.unavailable_since is not None:
                 await self.fetch_from_reader(readers)
-            elif self.lag_seconds() > MAX_LAG_SECONDS:
+            elif self.is_behind_peers():
                 self.behind_since = None
                 await self.read_newer_configuration()
 
+    def is_behind_peers(self) -> bool:
+        """Return whether the watch has missed a newer configuration."""
+        lag_seconds = self.lag_seconds()
+        if lag_seconds and self.configuration_watcher.has_waited_since(
+            clock.monotonic() - lag_seconds
+        ):
+            return lag_seconds > MAX_PENDING_LAG_SECONDS
+        return lag_seconds > MAX_LAG_SECONDS
+
     def lag_seconds(self) -> float:
         """Return for how long peers have had a newer configuration."""
         if (
--- a/sapphirepaddle/settings/entry.py
+++ b/sapphirepaddle/settings/entry.py
@@ -60,7 +60,8 @@
         isolation_seconds: Time without contact to the platform, directly or
             through peers, after which keyed routes may be refused.
         watchers: Daemons per zone that watch the platform for the others.
-        watch_seconds: Timeout of one watch call.
+        watch_seconds: Timeout of one watch call; a call made while the platform
+            is silent is never answered.
         digest_seconds: Interval between comparisons of gossip with a peer.
         snapshot_changes: Number of changes after which the configuration is
             written as a snapshot.
@@ -72,7 +73,7 @@
     silence_seconds: base.Seconds = 2
     isolation_seconds: base.Seconds = 3
     watchers: base.Count = 1
-    watch_seconds: base.Seconds = 10
+    watch_seconds: base.Seconds = 2
     digest_seconds: base.Seconds = 1
     snapshot_changes: base.Count = 1000
     retry_seconds: base.Seconds = 0.3
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -150,3 +150,19 @@
             while self.source.fresh_calls < previous_calls + 2:
                 await asyncio.sleep(0.01)
         self.assertEqual(self.number_by_name['one'], 2)
+
+
+class TestRetryPause(unittest.TestCase):
+    """Calls are repeated at intervals; one that timed out is at once."""
+
+    def test_call_that_failed_at_once_is_repeated_after_a_pause(self) -> None:
+        self.assertEqual(
+            object_watcher.retry_pause(1, 0), object_watcher.RETRY_STEP_SECONDS
+        )
+
+    def test_call_that_timed_out_is_repeated_at_once(self) -> None:
+        self.assertEqual(object_watcher.retry_pause(1, 3), 0)
+
+    def test_further_failures_are_followed_by_a_longer_pause(self) -> None:
+        pauses = [object_watcher.retry_pause(number, 3) for number in (2, 9)]
+        self.assertEqual(pauses, [1, object_watcher.MAX_RETRY_SECONDS])
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -176,6 +176,27 @@
         await self.drain()
         await self.wait_until_all_drain()
 
+    async def test_configuration_after_a_silence_that_swallowed_its_watches(
+        self,
+    ) -> None:
+        # Withdrawn keys worked on: no watch of the targets noticed the silence.
+        self.source.silent_kind = 'config'
+        for edge_daemon in self.daemons:
+            synchronizer = edge_daemon.components.synchronizer
+            synchronizer.configuration_watcher.replace_call()
+        await self.wait_until(
+            lambda: self.source.unanswered_calls == len(self.daemons)
+        )
+        self.source.silent_kind = ''
+        await self.configure(platform_objects.configuration(3))
+        await self.wait_until(
+            lambda: all(
+                edge_daemon.components.directory.version == 3
+                for edge_daemon in self.daemons
+            ),
+            seconds=10,
+        )
+
     async def test_targets_that_lapsed_in_an_unnoticed_outage_are_kept(
         self,
     ) -> None:
