Planned stop: requests that wait for room are refused as not run

Cause: the pause before a request is sent again knew the deadline of the request, not the end of the daemon, where the tasks of all connections are cancelled. Ruled out: late acceptance (all orders came before the daemon stopped accepting), a lost answer of a target (each target had turned the orders away).

Change: StopDeadline is set when the stop begins. Waits and repeats must leave time for a typical answer before it; a wait that is still running then ends in a refusal. The daemon gives connections half of its close reserve to send it.

--- a/sapphirepaddle/edge/daemon.py
+++ b/sapphirepaddle/edge/daemon.py
@@ -1,7 +1,6 @@
 """Lifecycle of the edge daemon, from start to graceful stop."""
 
 import asyncio
-import contextlib
 import typing
 from collections import abc
 
@@ -157,6 +156,7 @@
         )
         daemon_components = self.components
         self.trigger('leave')
+        daemon_components.forwarder.sender.stop_deadline.begin(deadline)
         daemon_components.forwarder.is_leaving = True
         daemon_components.count_exchange.is_leaving = True
         deregistration = asyncio.create_task(
@@ -173,9 +173,14 @@
             and daemon_components.caller_listener.connections
         ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CLOSE_RESERVE_SECONDS / 2):
-                await deregistration
+        await asyncio.wait(
+            (
+                deregistration,
+                *daemon_components.caller_listener.connections.values(),
+            ),
+            timeout=CLOSE_RESERVE_SECONDS / 2,
+        )
+        deregistration.cancel()
         self.logger.info(
             'stop', unanswered=daemon_components.forwarder.active_requests
         )
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -11,6 +11,7 @@
     http_message,
     request_context,
     resend_policy,
+    stop_deadline,
 )
 from sapphirepaddle.routing import candidate
 from sapphirepaddle.telemetry import decisions
@@ -45,6 +46,7 @@
         on_send_end: Called when the attempt ends, with whether the result
             indicates a fault of the target.
         decisions: Log of decisions.
+        stop_deadline: When the daemon ends the requests that still run.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.on_send_start = on_send_start
         self.on_send_end = on_send_end
         self.decisions = decision_log
+        self.stop_deadline = stop_deadline.StopDeadline()
 
     async def run(
         self, context: request_context.RequestContext
@@ -130,7 +133,8 @@
 
         Returns:
             Whether it may be sent; False without a wait if it cannot be
-            answered in time or no target may accept it.
+            answered in time, here also before the daemon stops, or if no
+            target may accept it.
         """
         targets = context.service_targets
         now = clock.monotonic()
@@ -138,7 +142,9 @@
             return False
         pause_seconds = resend_policy.resend_pause(
             context.resend_count,
-            context.remaining_seconds,
+            min(
+                context.remaining_seconds, self.stop_deadline.remaining_seconds
+            ),
             targets.typical_seconds,
             context.route.latency_objective_seconds,
             targets.seconds_until_room(now),
@@ -154,7 +160,11 @@
             sends=context.send_count,
             left=round(context.remaining_seconds, 3),
         )
-        await asyncio.sleep(pause_seconds)
+        try:
+            async with self.stop_deadline.limit():
+                await asyncio.sleep(pause_seconds)
+        except TimeoutError:
+            return False
         context.prepare_resend()
         return True
 
@@ -187,7 +197,7 @@
             is_safe = True
         if not is_safe or context.remaining_seconds <= 0:
             return False
-        if context.is_attempt_limit_reached:
+        if context.is_attempt_limit_reached or not self.has_time(context):
             return False
         if not context.service_targets.has_alternative(
             context.tried_targets, clock.monotonic()
@@ -205,6 +215,13 @@
         )
         return is_allowed
 
+    def has_time(self, context: request_context.RequestContext) -> bool:
+        """Return whether a typical answer arrives before the daemon stops."""
+        return (
+            self.stop_deadline.remaining_seconds
+            > context.service_targets.typical_seconds
+        )
+
     def start(
         self, context: request_context.RequestContext
     ) -> asyncio.Task[attempt_result.AttemptResult]:
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -6,6 +6,7 @@
 from tests.support import edge_daemon_case, platform_objects, scripted_target
 
 request = edge_daemon_case.request
+NOT_RUN = (503, 'not run')
 
 
 class TestConfiguration(edge_daemon_case.EdgeDaemonCase):
@@ -269,3 +270,47 @@
         reply = await self.send_raw(self.daemon, request('/reads/x'))
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.targets['t-1'].received, [])
+
+
+class TestStopWhileTargetsAreFull(edge_daemon_case.EdgeDaemonCase):
+    """A stopping daemon must answer a request that waits for room.
+
+    It did not run; a closed connection would leave that open to its caller.
+    """
+
+    bounds = edge_daemon_case.edge.Bounds(stop=1)
+
+    async def asyncSetUp(self) -> None:
+        """Start a daemon and a target that turns all requests away."""
+        await super().asyncSetUp()
+
+        async def turn_away(
+            received: scripted_target.ReceivedRequest,
+        ) -> None:
+            lines = ('X-Not-Executed: 1', 'Retry-After: 0.7')
+            received.writer.write(received.head(503, 0, *lines, stamp=''))
+
+        await self.add_target('t-1', 'orders', turn_away)
+        self.daemon = await self.start_daemon()
+        self.stop, self.task = self.running_tasks[0]
+
+    async def test_request_that_waits_at_the_end_is_refused(self) -> None:
+        # Its connection was closed without an answer.
+        reader, writer = await self.connect(self.daemon)
+        writer.write(request('/orders/x', method='POST'))
+        await self.wait_until(lambda: bool(self.targets['t-1'].received))
+        self.stop.set()
+        reply = await edge_daemon_case.read_reply(reader)
+        self.assertEqual((reply.status, reply.headers['x-run']), NOT_RUN)
+        writer.close()
+
+    async def test_request_that_would_wait_too_long_is_refused_at_once(
+        self,
+    ) -> None:
+        # It waited until the end, and its connection was closed.
+        self.stop.set()
+        reply = await self.send_raw(
+            self.daemon, request('/orders/x', method='POST')
+        )
+        self.assertEqual((reply.status, reply.headers['x-run']), NOT_RUN)
+        self.assertFalse(self.task.done())
