Planned stop: answers behind a slow one are sent

Cause: the end of the stop cancelled the task of each connection, and answers are sent in the order of the requests. Ruled out: the target (it had answered within 0.1 s), the caller (it read on).

Change: the deadline of the stop ends the request and not the connection. A request that may have run is answered 504 with the new code 3037 stopped-waiting, one that was not sent 503; an attempt that ended at that moment still counts. The answers behind it are sent, then the connection closes.

--- a/sapphirepaddle/codes.py
+++ b/sapphirepaddle/codes.py
@@ -284,6 +284,13 @@
     MAY_HAVE_RUN,
     'A request with this idempotency key ran; its answer was not kept.',
 )
+STOPPED_WAITING: typing.Final = ResultCode(
+    3037,
+    'stopped-waiting',
+    504,
+    MAY_HAVE_RUN,
+    'This daemon stopped before the target answered.',
+)
 INTERNAL: typing.Final = ResultCode(
     3099,
     'internal',
--- a/sapphirepaddle/proxy/attempt_result.py
+++ b/sapphirepaddle/proxy/attempt_result.py
@@ -38,3 +38,10 @@
     reason: str
     answer: http_message.ReceivedAnswer | None = None
     is_pause_stated: bool = False
+
+    @property
+    def final_answer(self) -> http_message.ReceivedAnswer | None:
+        """The answer that ends the request; None if there is none."""
+        if self.kind is AttemptResultKind.ANSWERED:
+            return self.answer
+        return None
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -68,7 +68,7 @@
     async def run(
         self, context: request_context.RequestContext
     ) -> http_message.ReceivedAnswer:
-        """Send a request until a target answers it.
+        """Send a request until a target answers it or the daemon stops.
 
         Returns:
             The answer to pass on, which may be a target's own failure.
@@ -79,11 +79,16 @@
         """
         running: set[asyncio.Task[attempt_result.AttemptResult]] = set()
         try:
-            return await self.run_until_answered(context, running)
+            async with self.stop_deadline.limit():
+                return await self.run_until_answered(context, running)
+        except TimeoutError:
+            for result in await cancel_attempts(running):
+                context.record_result(result)
+                if result.final_answer is not None:
+                    return result.final_answer
+            return answer_at_stop(context)
         finally:
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
+            await cancel_attempts(running)
 
     async def run_until_answered(
         self,
@@ -107,11 +112,8 @@
                 running.remove(task)
                 result = task.result()
                 context.record_result(result)
-                if (
-                    result.kind is AttemptResultKind.ANSWERED
-                    and result.answer is not None
-                ):
-                    return result.answer
+                if result.final_answer is not None:
+                    return result.final_answer
             if await self.may_start(context, is_hedge=bool(running)):
                 running.add(self.start(context))
             elif not done:
@@ -160,11 +162,7 @@
             sends=context.send_count,
             left=round(context.remaining_seconds, 3),
         )
-        try:
-            async with self.stop_deadline.limit():
-                await asyncio.sleep(pause_seconds)
-        except TimeoutError:
-            return False
+        await asyncio.sleep(pause_seconds)
         context.prepare_resend()
         return True
 
@@ -290,6 +288,7 @@
             result = await self.attempt_runner.send(context, target, connection)
             is_bad = self.record_result(context, target, result, started_at)
         except asyncio.CancelledError:
+            context.may_have_run = True
             self.log_cancelled(context, target, started_at)
             raise
         finally:
@@ -395,6 +394,33 @@
         )
 
 
+async def cancel_attempts(
+    running: abc.Collection[asyncio.Task[attempt_result.AttemptResult]],
+) -> list[attempt_result.AttemptResult]:
+    """Cancel attempts and return the results of those that had ended."""
+    for task in running:
+        task.cancel()
+    results = await asyncio.gather(*running, return_exceptions=True)
+    return [
+        result
+        for result in results
+        if isinstance(result, attempt_result.AttemptResult)
+    ]
+
+
+def answer_at_stop(
+    context: request_context.RequestContext,
+) -> http_message.ReceivedAnswer:
+    """Return the answer to pass on when the daemon stops.
+
+    Raises:
+        RefusedError: If there is nothing to pass on.
+    """
+    if context.may_have_run and context.failure_answer is None:
+        raise errors.RefusedError(codes.STOPPED_WAITING, context.service)
+    return final_answer(context)
+
+
 def final_answer(
     context: request_context.RequestContext,
 ) -> http_message.ReceivedAnswer:
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -7,6 +7,7 @@
 
 request = edge_daemon_case.request
 NOT_RUN = (503, 'not run')
+MAY_HAVE_RUN = (504, 'may have run')
 
 
 class TestConfiguration(edge_daemon_case.EdgeDaemonCase):
@@ -314,3 +315,51 @@
         )
         self.assertEqual((reply.status, reply.headers['x-run']), NOT_RUN)
         self.assertFalse(self.task.done())
+
+
+class TestStopWhileTargetsWork(edge_daemon_case.EdgeDaemonCase):
+    """A stopping daemon must send the answers that it has.
+
+    They may wait behind a request at which a target still works.
+    """
+
+    bounds = edge_daemon_case.edge.Bounds(stop=1)
+
+    async def asyncSetUp(self) -> None:
+        """Start a daemon and a target that works long on some requests."""
+        await super().asyncSetUp()
+
+        async def answer(received: scripted_target.ReceivedRequest) -> None:
+            if 'slow' in received.path:
+                await asyncio.sleep(30)
+            received.answer(body=received.identifier.encode())
+
+        await self.add_target('t-1', 'reads', answer)
+        await self.add_target('t-2', 'orders', answer)
+        self.daemon = await self.start_daemon()
+        self.stop, self.task = self.running_tasks[0]
+
+    async def test_answers_behind_a_slow_one_are_sent(self) -> None:
+        # They were discarded with the request in front of them.
+        reader, writer = await self.connect(self.daemon)
+        for identifier in ('slow', 'first', 'second'):
+            writer.write(request(f'/reads/{identifier}', identifier))
+        await self.wait_until(lambda: len(self.targets['t-1'].received) == 3)
+        self.stop.set()
+        replies = [await edge_daemon_case.read_reply(reader) for _ in range(3)]
+        self.assertEqual(
+            [(reply.status, reply.headers.get('x-run')) for reply in replies],
+            [MAY_HAVE_RUN, (200, None), (200, None)],
+        )
+        self.assertEqual(replies[1].body, b'first')
+        self.assertEqual(await reader.read(), b'')
+        writer.close()
+
+    async def test_order_at_a_target_is_not_said_to_have_not_run(self) -> None:
+        reader, writer = await self.connect(self.daemon)
+        writer.write(request('/orders/slow', method='POST'))
+        await self.wait_until(lambda: bool(self.targets['t-2'].received))
+        self.stop.set()
+        reply = await edge_daemon_case.read_reply(reader)
+        self.assertEqual((reply.status, reply.headers['x-run']), MAY_HAVE_RUN)
+        writer.close()
