Odd entries: large answers of the store are split in few steps

Cause: the splitter of answers that cannot be decoded as a whole made a Python step for each bracket, over four passes, on the event loop.

Change: strings are blanked once per answer, blocks in which no value can end are skipped, and answers over 64 KB are decoded in a thread.

--- a/sapphirepaddle/platform/json_members.py
+++ b/sapphirepaddle/platform/json_members.py
@@ -1,31 +1,88 @@
-"""Splitting of JSON text into members without decoding them; no I/O."""
+"""Splitting of JSON text into members without decoding them; no I/O.
 
+The bytes are scanned by methods of `bytes`, by regular expressions and by
+`itertools`, with one Python step for a block or a member: the text of another
+writer may have a million brackets, and the event loop waits meanwhile.
+"""
+
+import dataclasses
+import itertools
 import re
 import typing
 from collections import abc
 
-TOKEN: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"|["\[\]{}:,]', re.DOTALL)
-"""A string, or a character that separates or nests values. A quotation mark
-alone begins a string without end."""
+BLOCK_BYTES: typing.Final = 4096
+"""Size of the blocks that are skipped if no value can end in them."""
+BRACKET: typing.Final = re.compile(rb'[\[\]{}]')
+DELIMITER: typing.Final = re.compile(rb'[\[\]{}:,]')
+ESCAPES: typing.Final = (rb'\\', rb'\"')
+"""Escape sequences that matter for the end of a string, in order."""
+FILLER: typing.Final = b'__'
 QUOTATION_MARK: typing.Final = b'"'
-OPENING: typing.Final = frozenset((b'{', b'['))
-CLOSING: typing.Final = frozenset((b'}', b']'))
-SEPARATORS: typing.Final = frozenset((b':', b','))
+OPENING: typing.Final = (b'{', b'[')
+CLOSING: typing.Final = (b'}', b']')
 WHITESPACE: typing.Final = b' \t\r\n'
+DEPTH_STEPS: typing.Final = bytes.maketrans(b'{[}]', b'\x01\x01\xff\xff')
+"""Translates brackets into changes of the nesting depth, as signed bytes."""
+OTHER_BYTES: typing.Final = bytes(
+    byte
+    for byte in range(1 + 0xFF)  # noqa: WPS432
+    if byte not in b'{[}]'
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    """A part of a JSON text.
+
+    Attributes:
+        raw: The text.
+        blanked: Text of the same length whose strings have no delimiters.
+    """
+
+    raw: bytes
+    blanked: bytes
+
+    def part(self, start: int, end: int) -> 'Text':
+        """Return the part between two positions, without outer whitespace."""
+        inner = self.raw[start:end]
+        start += len(inner) - len(inner.lstrip(WHITESPACE))
+        end -= len(inner) - len(inner.rstrip(WHITESPACE))
+        return Text(self.raw[start:end], self.blanked[start:end])
 
 
-def split_array(raw: bytes) -> list[bytes]:
+def read(raw: bytes) -> Text:
+    """Return a text whose members can be split.
+
+    Raises:
+        ValueError: If a string does not end.
+    """
+    blanked = raw
+    for escape in ESCAPES:
+        blanked = blanked.replace(escape, FILLER)
+    pieces = blanked.split(QUOTATION_MARK)
+    if len(pieces) % 2 == 0:
+        raise ValueError('text ends within a string')
+    blanks = map(bytes, map(len, pieces[1::2]))
+    # A text has one piece more outside of strings than strings.
+    outer_and_blank = itertools.zip_longest(pieces[::2], blanks)
+    parts = itertools.chain.from_iterable(outer_and_blank)
+    blanked = QUOTATION_MARK.join(itertools.islice(parts, len(pieces)))
+    return Text(raw, blanked).part(0, len(raw))
+
+
+def split_array(text: Text) -> list[Text]:
     """Return the text of each element of a JSON array.
 
     Raises:
         ValueError: If the text is not an array or ends too early.
     """
-    if not raw.lstrip(WHITESPACE).startswith(b'['):
+    if not text.raw.startswith(b'['):
         raise ValueError('not an array')
-    return [piece for piece, _ in split_pieces(raw) if piece]
+    return [piece for piece, _ in split_pieces(text) if piece.raw]
 
 
-def split_object(raw: bytes) -> dict[bytes, bytes]:
+def split_object(text: Text) -> dict[bytes, Text]:
     """Return the text of each value of a JSON object by the text of its key.
 
     The keys keep their quotation marks.
@@ -33,19 +90,19 @@
     Raises:
         ValueError: If the text is not an object or ends too early.
     """
-    if not raw.lstrip(WHITESPACE).startswith(b'{'):
+    if not text.raw.startswith(b'{'):
         raise ValueError('not an object')
     member_text_by_key = {}
     key = b''
-    for piece, separator in split_pieces(raw):
+    for piece, separator in split_pieces(text):
         if separator == b':':
-            key = piece
-        elif piece:
+            key = piece.raw
+        elif piece.raw:
             member_text_by_key[key] = piece
     return member_text_by_key
 
 
-def split_pieces(raw: bytes) -> abc.Iterator[tuple[bytes, bytes]]:
+def split_pieces(text: Text) -> abc.Iterator[tuple[Text, bytes]]:
     """Split a JSON array or object at the separators of its outermost level.
 
     Yields:
@@ -54,25 +111,66 @@
     Raises:
         ValueError: If the text ends before the outermost level does.
     """
-    start = len(raw) - len(raw.lstrip(WHITESPACE)) + 1
-    for match, depth in read_nested_tokens(raw):
-        is_end = depth == 0
-        if is_end or (depth == 1 and match.group() in SEPARATORS):
-            yield raw[start : match.start()].strip(WHITESPACE), match.group()
-            start = match.end()
-        if is_end:
+    start = 1
+    position = start
+    while match := DELIMITER.search(text.blanked, position):
+        delimiter = match.group()
+        position = match.end()
+        if delimiter in OPENING:
+            position = find_end(text.blanked, position)
+            continue
+        yield text.part(start, match.start()), delimiter
+        if delimiter in CLOSING:
             return
+        start = position
     raise ValueError('text ends within a value')
 
 
-def read_nested_tokens(
-    raw: bytes,
-) -> abc.Iterator[tuple[re.Match[bytes], int]]:
-    """Yield each token with the nesting depth after it, without recursion."""
-    depth = 0
-    for match in TOKEN.finditer(raw):
-        token = match.group()
-        if token == QUOTATION_MARK:
-            return
-        depth += (token in OPENING) - (token in CLOSING)
-        yield match, depth
+def find_end(blanked: bytes, position: int) -> int:
+    """Return the position behind the bracket that ends a value.
+
+    Args:
+        blanked: JSON text without the contents of its strings.
+        position: Position behind the bracket that begins the value.
+
+    Raises:
+        ValueError: If the text ends before.
+    """
+    depth = 1
+    for start in range(position, len(blanked), BLOCK_BYTES):
+        block = blanked[start : start + BLOCK_BYTES]
+        closing_count = count_any(CLOSING, block)
+        if depth <= closing_count and depth + lowest_depth(block) <= 0:
+            return start + find_depth(block, -depth)
+        depth += count_any(OPENING, block) - closing_count
+    raise ValueError('text ends within a value')
+
+
+def find_depth(block: bytes, depth: int) -> int:
+    """Return the position behind the bracket that first reaches a depth.
+
+    Args:
+        block: JSON text without the contents of its strings.
+        depth: Nesting depth relative to the start of the block, which the
+            block reaches.
+    """
+    brackets = BRACKET.finditer(block)
+    steps = memoryview(block.translate(DEPTH_STEPS, OTHER_BYTES)).cast('b')
+    return next(
+        match.end()
+        for match, reached in zip(
+            brackets, itertools.accumulate(steps), strict=True
+        )
+        if reached == depth
+    )
+
+
+def count_any(parts: abc.Iterable[bytes], block: bytes) -> int:
+    """Return how often any of the parts occurs in a block."""
+    return sum(map(block.count, parts))
+
+
+def lowest_depth(block: bytes) -> int:
+    """Return the lowest nesting depth in a block, relative to its start."""
+    steps = memoryview(block.translate(DEPTH_STEPS, OTHER_BYTES)).cast('b')
+    return min(itertools.accumulate(steps), default=0)
--- a/sapphirepaddle/platform/object_parser.py
+++ b/sapphirepaddle/platform/object_parser.py
@@ -1,5 +1,6 @@
 """Parsing of the store's answers, which other writers may spoil; no I/O."""
 
+import contextlib
 import typing
 
 import orjson
@@ -35,31 +36,39 @@
 def parse_members(body: bytes) -> Fields:
     """Parse the members of a body of which some item cannot be decoded."""
     decoded: Fields = {}
-    for raw_key, raw_value in json_members.split_object(body).items():
+    members = json_members.split_object(json_members.read(body))
+    for raw_key, text in members.items():
         key = orjson.loads(raw_key)
         if key in LIST_KEYS:
             decoded[key] = [
-                parse_item(raw_item)
-                for raw_item in json_members.split_array(raw_value)
+                parse_item(item) for item in json_members.split_array(text)
             ]
         else:
-            decoded[key] = orjson.loads(raw_value)
+            decoded[key] = orjson.loads(text.raw)
     return decoded
 
 
-def parse_item(raw_item: bytes) -> Fields:
+def parse_item(item: json_members.Text) -> Fields:
     """Parse an item; members that cannot be decoded are left out."""
-    fields: Fields = {}
+    with contextlib.suppress(orjson.JSONDecodeError):
+        fields = orjson.loads(item.raw)
+        return fields if isinstance(fields, dict) else {}
     try:
-        members = json_members.split_object(raw_item)
+        members = json_members.split_object(item)
     except ValueError:
-        return fields
-    for raw_key, raw_value in members.items():
+        return {}
+    return parse_item_members(members)
+
+
+def parse_item_members(members: dict[bytes, json_members.Text]) -> Fields:
+    """Parse the members of an item as a whole cannot be decoded."""
+    fields: Fields = {}
+    for raw_key, text in members.items():
         try:
-            fields[orjson.loads(raw_key)] = orjson.loads(raw_value)
+            fields[orjson.loads(raw_key)] = orjson.loads(text.raw)
         except orjson.JSONDecodeError:
             if raw_key.strip(b'"') == OBJECT_KEY.encode():
-                fields[OBJECT_KEY] = parse_item(raw_value)
+                fields[OBJECT_KEY] = parse_item(text)
     return fields
 
 
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -1,5 +1,6 @@
 """Client of the platform's object store."""
 
+import asyncio
 import typing
 from collections import abc
 from urllib import parse as urls
@@ -20,6 +21,8 @@
 1.6 s on a link of 5 Mbit/s."""
 WATCH_GRACE_SECONDS: typing.Final = 1.0
 """Extra time for the answer of a watch beyond its requested wait."""
+MAX_INLINE_BYTES: typing.Final = 65536
+"""Size of an answer above which it is decoded in a thread."""
 HTTP_OK: typing.Final = 200
 HTTP_NOT_FOUND: typing.Final = 404
 HTTP_CONFLICT: typing.Final = 409
@@ -139,20 +142,24 @@
             return {}
         if answer.status // 100 != HTTP_OK // 100:
             raise errors.SourceError(f'{method} {path}: status {answer.status}')
-        return decode(answer.body)
+        return await decode(answer.body)
 
 
 class ConflictError(errors.SourceError):
     """The object to create already exists."""
 
 
-def decode(body: bytes) -> source.Content:
+async def decode(body: bytes) -> source.Content:
     """Decode a body that must be a JSON object; an empty body is {}.
 
+    A large one is decoded in a thread, while the event loop serves requests.
+
     Raises:
         SourceError: If it is not a JSON object.
     """
     try:
+        if len(body) > MAX_INLINE_BYTES:
+            return await asyncio.to_thread(object_parser.parse, body)
         return object_parser.parse(body)
     except ValueError as error:
         raise errors.SourceError('answer is not a JSON object') from error
--- a/tests/platform/test_object_parser.py
+++ b/tests/platform/test_object_parser.py
@@ -1,6 +1,10 @@
 """Tests of parsing answers of the store that contain odd items."""
 
+import collections
+import functools
+import sys
 import unittest
+from collections import abc
 
 import hypothesis
 import orjson
@@ -30,6 +34,22 @@
 )
 
 
+ITEM_BYTES = 1000000
+BYTES_PER_STEP = 50
+"""Least mean number of bytes that one call of a function has to cover."""
+
+
+def count_steps(run: abc.Callable[[], object]) -> int:
+    """Return how many functions are called, those of the interpreter too."""
+    events: collections.Counter[str] = collections.Counter()
+    sys.setprofile(lambda _frame, event, _argument: events.update((event,)))
+    try:
+        run()
+    finally:
+        sys.setprofile(None)
+    return events['call'] + events['c_call']
+
+
 def list_body(raw_spec: bytes) -> bytes:
     """Return a list with an odd item between two valid ones."""
     items = [
@@ -79,6 +99,22 @@
                 self.assertEqual(names, ['odd', 'odd'])
                 self.assertEqual(entries[1], source.Entry('odd', None))
 
+    def test_nested_item_takes_few_steps(self) -> None:
+        # An item of 1 MB stopped the event loop for seconds, step by step.
+        brackets = ITEM_BYTES // 2
+        for oddity, nested in {
+            'one value': b'[' * brackets + b']' * brackets,
+            'many values': b'[' + b'[],' * (ITEM_BYTES // 3) + b'NaN]',
+            'teeth': b'[' + (b'[' * 999 + b']' * 999 + b',') * 500 + b'NaN]',
+            'objects': b'[{"":' * (brackets // 4) + b'}]' * (brackets // 4),
+        }.items():
+            with self.subTest(oddity):
+                body = list_body(b'{"list":' + nested + b'}')
+                steps = count_steps(
+                    functools.partial(object_parser.parse, body)
+                )
+                self.assertLess(steps, len(body) / BYTES_PER_STEP)
+
     def test_items_without_a_name(self) -> None:
         for item in ({}, {'metadata': None}, {'metadata': {'name': 3}}, []):
             with self.subTest(item=item):
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -1,11 +1,14 @@
 """Tests of the object store client against a stand-in server."""
 
+import asyncio
+import threading
 import unittest
+from unittest import mock
 
 from sapphirepaddle import errors
 from sapphirepaddle.directory import memory_source, source
 from sapphirepaddle.edge import listener
-from sapphirepaddle.platform import object_source
+from sapphirepaddle.platform import object_parser, object_source
 from sapphirepaddle.proxy import http_client
 from sapphirepaddle.settings import edge
 from sapphirepaddle.standins import object_store
@@ -54,6 +57,23 @@
         await self.put('a', number=2)
         self.assertEqual(self.memory.objects['kind']['a'], {'number': 2})
 
+    async def test_large_answer_is_decoded_beside_the_event_loop(self) -> None:
+        # Requests waited for seconds while an odd item was split.
+        started = asyncio.Event()
+        finished = threading.Event()
+        loop = asyncio.get_running_loop()
+
+        def parse(_body: bytes) -> dict[str, bool]:
+            loop.call_soon_threadsafe(started.set)
+            return {'has_loop_run': finished.wait(timeout=10)}
+
+        self.enterContext(mock.patch.object(object_parser, 'parse', parse))
+        body = b' ' * (object_source.MAX_INLINE_BYTES + 1)
+        decoding = asyncio.create_task(object_source.decode(body))
+        await started.wait()
+        finished.set()
+        self.assertEqual(await decoding, {'has_loop_run': True})
+
     async def test_names_are_quoted(self) -> None:
         await self.put('a/b c', number=1)
         await self.put('a/b c', number=2)
