Tests: answers that end within their head are never passed on

Reported by other operators: callers got a 200 with an empty or short body. Here the end of the stream within a head is an error in both daemons; the tests cut the head of a complete answer behind each byte and pass on the code as it was.

--- a/tests/edge/test_requests.py
+++ b/tests/edge/test_requests.py
@@ -6,6 +6,8 @@
 
 ReceivedRequest = scripted_target.ReceivedRequest
 request = edge_daemon_case.request
+CUT_COUNT = 150
+"""More than the bytes of a head, so that it is cut behind each of them."""
 
 
 class OneTargetCase(edge_daemon_case.EdgeDaemonCase):
@@ -223,6 +225,21 @@
 
         self.assertEqual((await self.reply_to(truncate)).status, 502)
 
+    async def test_answer_that_ends_within_its_head(self) -> None:
+        # Of another system, callers got a 200 with an empty or short body.
+        async def stop_in_head(received: ReceivedRequest) -> None:
+            head = received.head(200, 4, 'X-Last: header')
+            cut = int(received.identifier) % len(head)
+            received.writer.write(head[:cut])
+            received.writer.close()
+
+        self.targets['o-1'].script = stop_in_head
+        statuses = [
+            (await self.order(str(cut))).status for cut in range(CUT_COUNT)
+        ]
+        self.assertEqual(statuses, [502] * CUT_COUNT)
+        self.assertEqual(len(self.targets['o-1'].received), CUT_COUNT)
+
     async def test_malformed_answer(self) -> None:
         async def send_garbage(received: ReceivedRequest) -> None:
             received.writer.write(b'\x00\x01 no answer\r\n\r\n')
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -131,6 +131,17 @@
                 fault = await self.send_expecting_fault()
                 self.assertIs(fault, Fault.BROKEN)
 
+    async def test_answer_that_ends_within_its_head(self) -> None:
+        """The head is cut behind each of its bytes."""
+        head = b'HTTP/1.1 200 OK\r\nX-Some: x\r\nContent-Length: 12\r\n\r\n'
+        for cut in range(len(head)):
+            with self.subTest(head[:cut]):
+                await self.start_raw_target(
+                    fixed_answer_script(head[:cut], close=True)
+                )
+                fault = await self.send_expecting_fault()
+                self.assertIs(fault, Fault.BROKEN)
+
     async def test_mismatched_identifier(self) -> None:
         """An answer with the identifier of another request is rejected."""
         await self.start_raw_target(
