Planned stop: requests that would outlast it are refused at once

Reported by other operators: requests that came late in the grace were passed on, and cut off at its end. It could happen here for those of the first 3 s.

Cause: refusals began at a fixed time, whatever time the targets of a service need.

Change: a request is refused as not run if a typical answer would not arrive before the end.

--- a/sapphirepaddle/proxy/forwarder.py
+++ b/sapphirepaddle/proxy/forwarder.py
@@ -144,6 +144,10 @@
         context = self.build_context(
             caller_request, metadata, active_configuration
         )
+        if not self.sender.has_time(context):
+            raise errors.RefusedError(
+                codes.STOPPING, context.service, STOPPING_RETRY_SECONDS
+            )
         self.acquire_quota(context)
         self.directory.record_request(context.service)
         target_answer = await self.sender.run(context)
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sapphirepaddle import clock
 from sapphirepaddle.directory import source
 from tests.support import edge_daemon_case, platform_objects, scripted_target
 
@@ -364,6 +365,18 @@
         self.assertEqual(await reader.read(), b'')
         writer.close()
 
+    async def test_late_order_without_time_to_run_is_refused(self) -> None:
+        # It was passed on, and cut off at the end of the stop.
+        components = self.daemon.components
+        targets = components.directory.service_targets('orders')
+        targets.record_latency(20)
+        components.forwarder.sender.stop_deadline.begin(clock.monotonic() + 10)
+        reply = await self.send_raw(
+            self.daemon, request('/orders/x', method='POST')
+        )
+        self.assertEqual((reply.status, reply.headers['x-run']), NOT_RUN)
+        self.assertEqual(self.targets['t-2'].received, [])
+
     async def test_order_at_a_target_is_not_said_to_have_not_run(self) -> None:
         reader, writer = await self.connect(self.daemon)
         writer.write(request('/orders/slow', method='POST'))
