Request bodies: a body is held once

Cause: the budget counts a body once, but it was held in parts, joined, rendered for each attempt, and copied into the buffer of the connection. Ruled out: several bodies at once (one suffices), answers (its answer is short).

Change: parts are collected in one buffer and written in pieces, as fast as the target reads them.

--- a/sapphirepaddle/proxy/http_message.py
+++ b/sapphirepaddle/proxy/http_message.py
@@ -30,7 +30,7 @@
     method: bytes
     target: bytes
     headers: header_codec.Headers
-    body: bytes = b''
+    body: bytes | bytearray = b''
     matches: MatchFunction = match_any
 
 
--- a/sapphirepaddle/proxy/request.py
+++ b/sapphirepaddle/proxy/request.py
@@ -23,7 +23,7 @@
     target: bytes
     headers: header_codec.Headers
     host: str
-    body: bytes
+    body: bytes | bytearray
     has_body: bool
     received_at: float
 
--- a/sapphirepaddle/proxy/request_reader.py
+++ b/sapphirepaddle/proxy/request_reader.py
@@ -137,17 +137,21 @@
 
     async def read_body(
         self, current_exchange: exchange.Exchange
-    ) -> bytes | None:
-        """Read the body of a request; None if the caller disconnected."""
-        parts: list[bytes] = []
+    ) -> bytearray | None:
+        """Read the body of a request; None if the caller disconnected.
+
+        The parts are collected in one buffer: a list that is joined at the end
+        would take the memory of the body twice.
+        """
+        body = bytearray()
         while True:
             event = await self.next_body_event(current_exchange)
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return body
             if not isinstance(event, h11.Data):
                 return None
             self.acquire_body_memory(current_exchange, len(event.data))
-            parts.append(bytes(event.data))
+            body += event.data
 
     def acquire_body_memory(
         self, current_exchange: exchange.Exchange, size: int
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import typing
 from collections import abc
 
@@ -12,6 +13,8 @@
 
 READ_BYTES: typing.Final = 16384
 """Maximum number of bytes parsed before other tasks get a turn."""
+WRITE_BYTES: typing.Final = 65536
+"""Maximum number of bytes of a body that are passed on at a time."""
 MAX_SKIPPED_HEADS: typing.Final = 16
 """Maximum number of interim answers and of late answers to other requests that
 are skipped before the answer."""
@@ -74,8 +77,41 @@
     async def send_and_read(
         self, outgoing: http_message.OutgoingRequest
     ) -> http_message.ReceivedAnswer:
-        """Send a request and read answers until one matches it."""
-        self.writer.write(render(self.http, outgoing))
+        """Send a request and read answers until one matches it.
+
+        A target may answer before it has read a long body. If a part of the
+        body is not written then, the connection is not used again.
+        """
+        head = render_head(self.http, outgoing)
+        body = memoryview(outgoing.body)
+        self.writer.write(head + bytes(body[:WRITE_BYTES]))
+        if len(body) <= WRITE_BYTES:
+            return await self.read_matching_answer(outgoing)
+        rest_task = asyncio.create_task(self.write_rest(body[WRITE_BYTES:]))
+        try:
+            answer = await self.read_matching_answer(outgoing)
+        finally:
+            is_written = rest_task.done()
+            rest_task.cancel()
+        if is_written:
+            return answer
+        return dataclasses.replace(answer, is_reusable=False)
+
+    async def write_rest(self, body: memoryview) -> None:
+        """Write the rest of a body, no faster than the target reads it.
+
+        A copy in the buffer of the connection would take the memory of the
+        body once more. A failure shows when the answer is read.
+        """
+        with contextlib.suppress(ConnectionError):
+            for start in range(0, len(body), WRITE_BYTES):
+                await self.writer.drain()
+                self.writer.write(body[start : start + WRITE_BYTES])
+
+    async def read_matching_answer(
+        self, outgoing: http_message.OutgoingRequest
+    ) -> http_message.ReceivedAnswer:
+        """Read answers until one matches the request."""
         for _ in range(MAX_SKIPPED_HEADS):
             answer = await self.read_answer(outgoing.method)
             if outgoing.matches(answer.status, answer.headers):
@@ -88,12 +124,12 @@
     def reset_parser(self, outgoing: http_message.OutgoingRequest) -> None:
         """Prepare for a further answer to the request that was sent.
 
-        The previous one was a late answer to another request. The request is
+        The previous one was a late answer to another request. The head is
         serialized again only to bring the new parser into the right state.
         """
         leftover, _ = self.http.trailing_data
         self.http = new_parser()
-        render(self.http, outgoing)
+        render_head(self.http, outgoing)
         if leftover:
             self.http.receive_data(bytes(leftover))
 
@@ -227,20 +263,25 @@
     )
 
 
-def render(
+def render_head(
     http: h11.Connection, outgoing: http_message.OutgoingRequest
 ) -> bytes:
-    """Return the serialized request."""
+    """Return the serialized head of a request.
+
+    The parser counts the body as sent. As the head states its length, it is
+    written as it is.
+    """
     head = h11.Request(
         method=outgoing.method,
         target=outgoing.target,
         headers=outgoing.headers,
     )
-    parts = [http.send(head)]
+    rendered = http.send(head) or b''
     if outgoing.body:
-        parts.append(http.send(h11.Data(data=outgoing.body)))
-    parts.append(http.send(h11.EndOfMessage()))
-    return b''.join(filter(None, parts))
+        body = typing.cast(bytes, outgoing.body)
+        http.send_with_data_passthrough(h11.Data(data=body))
+    http.send(h11.EndOfMessage())
+    return rendered
 
 
 async def connect(
