--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -362,7 +362,7 @@
 | calls | a second | from |
 |---|---|---|
 | list of VMs | {list_calls:.1f} | one watcher in each of {zones} zones, every 2 s |
-| watches | {watch_calls:.1f} | the same, each at most 10 s, {zones} waiting at a time |
+| watches | {watch_calls:.1f} | the same, each at most 2 s, {zones} waiting at a time |
 | start of a daemon | {start_calls:.2f} | list, ownership, snapshot and newest changes, for {moves:,} replacements a day; today a snapshot of everything is read in parts of 1,000 objects, 2,300 at this size, too many for each start: the peers' pages serve instead when routes and targets only are whole |
 | claims | {claim_calls:.0f} at most | {shards} shards, one write in 20 ms each; more than several hundred writes a second would be reached at {most_shards} shards |
 | audit | {audit_calls:.1f} | a verdict or change now and then |
@@ -417,7 +417,7 @@
         PAGE_TAIL.format(
             zones=ZONES,
             list_calls=ZONES / 2,
-            watch_calls=ZONES / 10 + CHANGES_PER_DAY / SECONDS_PER_DAY * ZONES,
+            watch_calls=ZONES / 2 + CHANGES_PER_DAY / SECONDS_PER_DAY * ZONES,
             start_calls=starts_per_second * 5,
             moves=REPLACEMENTS_PER_DAY,
             claim_calls=SHARDS / COMMIT_SECONDS,
