Body sending: any error of the connection shows when the answer is read

Not only ConnectionError is raised by a connection that fails, also other kinds of OSError, as a timeout of the kernel. Wording of a docstring.

--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -24,7 +24,6 @@
 RETRY_AFTER_SECONDS: typing.Final = 0.5
 """Retry hint for callers when no target accepted a request; evidence and load
 reports are updated by then."""
-
 MAX_UNCOUNTED_PAUSE_SECONDS: typing.Final = 0.5
 """Longest pause after which a request is sent again without being counted again
 in the retry budget."""
@@ -146,7 +145,7 @@
 
         Returns:
             Whether it may be sent; False without a wait if it cannot be
-            answered in time, here also before the daemon stops, or if no
+            answered before its deadline and the end of the daemon, or if no
             target may accept it.
         """
         targets = context.service_targets
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -103,7 +103,7 @@
         A copy in the buffer of the connection would take the memory of the
         body once more. A failure shows when the answer is read.
         """
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             for start in range(0, len(body), WRITE_BYTES):
                 await self.writer.drain()
                 self.writer.write(body[start : start + WRITE_BYTES])
