--- a/sapphirepaddle/limits/fleet_retry_budget.py
+++ b/sapphirepaddle/limits/fleet_retry_budget.py
@@ -23,9 +23,8 @@
 It has no counts of the retries before its start.
 """
 UNREPORTED_SECONDS: typing.Final = 1.5
-"""Time in which the retries of a daemon may not have reached all others. It has
-to be 2.7 times the delay of reports, up to 0.6 s, for shares of what is left to
-converge."""
+"""Time in which the retries of a daemon may not have reached all others. Below
+e times the delay of the reports, shares of what is left would overshoot."""
 
 
 class WindowSlice:
--- a/sapphirepaddle/platform/object_parser.py
+++ b/sapphirepaddle/platform/object_parser.py
@@ -61,7 +61,7 @@
 
 
 def parse_item_members(members: dict[bytes, json_members.Text]) -> Fields:
-    """Parse the members of an item as a whole cannot be decoded."""
+    """Parse the members of an item; what cannot be decoded is left out."""
     fields: Fields = {}
     for raw_key, text in members.items():
         try:
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -228,6 +228,19 @@
         '    lambda self, now, _count, slack: (\n'
         '        self.left(self.fleet, slack, now) >= 1))',
     ),
+    Mutation(
+        'edge: unanswered watches of the configuration time out',
+        'edge.test_reader_role.TestReaderRole.'
+        'test_configuration_after_a_silence_that_swallowed_its_watches',
+        'from sapphirepaddle.directory import object_watcher\n'
+        'object_watcher.CONFIGURATION_WATCH_SECONDS = 20',
+    ),
+    Mutation(
+        'edge: a stopping daemon answers what still runs',
+        'edge.test_daemon.TestStopWhileTargetsWork',
+        'from sapphirepaddle.proxy import stop_deadline\n'
+        'stop_deadline.StopDeadline.begin = lambda self, ends_at: None',
+    ),
     Mutation(
         'edge: changed registrations are applied',
         'edge.test_daemon.TestTargets',
