--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -17,12 +17,12 @@
 CONTACT_TOLERANCE_SECONDS: typing.Final = 0.3
 """Tolerance of the time at which a reader reports to have regained contact: its
 resolution and the delay of the report."""
-FIRST_WATCH_SECONDS: typing.Final = (
+FIRST_READER_SECONDS: typing.Final = (
     object_watcher.READER_WATCH_SECONDS,
     object_watcher.CONFIGURATION_WATCH_SECONDS,
 )
 """Maximum wait of a call on the first reader, for targets and configuration."""
-WATCH_SECONDS: typing.Final = (
+SECOND_READER_SECONDS: typing.Final = (
     object_watcher.SECOND_READER_WATCH_SECONDS,
     object_watcher.WATCH_SECONDS,
 )
@@ -115,7 +115,9 @@
         if is_first == self.was_first:
             return
         self.was_first = is_first
-        seconds_by_rank = FIRST_WATCH_SECONDS if is_first else WATCH_SECONDS
+        seconds_by_rank = (
+            FIRST_READER_SECONDS if is_first else SECOND_READER_SECONDS
+        )
         for watcher, watch_seconds in zip(
             self.watchers, seconds_by_rank, strict=True
         ):
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -377,7 +377,7 @@
         self.assertEqual((reply.status, reply.headers['x-run']), NOT_RUN)
         self.assertEqual(self.targets['t-2'].received, [])
 
-    async def test_order_at_a_target_is_not_said_to_have_not_run(self) -> None:
+    async def test_order_at_a_target_may_have_run(self) -> None:
         reader, writer = await self.connect(self.daemon)
         writer.write(request('/orders/slow', method='POST'))
         await self.wait_until(lambda: bool(self.targets['t-2'].received))
--- a/tests/platform/test_object_parser.py
+++ b/tests/platform/test_object_parser.py
@@ -105,7 +105,9 @@
         for oddity, nested in {
             'one value': b'[' * brackets + b']' * brackets,
             'many values': b'[' + b'[],' * (ITEM_BYTES // 3) + b'NaN]',
-            'teeth': b'[' + (b'[' * 999 + b']' * 999 + b',') * 500 + b'NaN]',
+            'nested values': b'['
+            + (b'[' * 999 + b']' * 999 + b',') * 500
+            + b'NaN]',
             'objects': b'[{"":' * (brackets // 4) + b'}]' * (brackets // 4),
         }.items():
             with self.subTest(oddity):
