Never take a late reply of the platform for the reply to another call

Callers saw: after a pause of a daemon of paddle-entry, orders that another daemon had run were run again.

Cause: RemoteStore used plain aiosonic connections. After a timeout or cancellation aiosonic returns a persistent connection to its pool although the reply is still to come; the next call on it gets that reply. A claim that the platform rejects as a conflict can so get the reply to an earlier write and count as accepted. Connections to targets had a protection against this; those to the platform, of the command line and of the replay of traces had not.

Ruled out: the log of claims (each accepted record is a conditional write, also with an outdated index); retries of the dispatcher; a second write by aiosonic's own resend (only idempotent methods, and conditional). paddle-edge and paddle-gateway read the platform with proxy.http_client, which closes the connection after any failure.

Change: PooledConnection, split from TargetConnection, closes a connection after any failure and does not reuse one with unread bytes; all aiosonic clients use it.

--- a/sapphirepaddle/gateway/target_connection.py
+++ b/sapphirepaddle/gateway/target_connection.py
@@ -3,8 +3,9 @@
 import re
 import typing
 
-from aiosonic import connection, exceptions
+from aiosonic import exceptions
 
+from sapphirepaddle import pooled_connection
 from sapphirepaddle.gateway import attempt
 
 MAX_HEAD_BYTES: typing.Final = 65536
@@ -14,13 +15,12 @@
 CHUNK_SIZE_PATTERN: typing.Final = re.compile(rb'[0-9a-fA-F]{1,8}\r\n|\r\n')
 
 
-class TargetConnection(connection.Connection):
-    """A connection that is reused only if it has no unread bytes.
+class TargetConnection(pooled_connection.PooledConnection):
+    """A connection that sends each request at most once.
 
-    Unread bytes could be taken for the answer to the next request. aiosonic
-    resends an idempotent request by itself when a reused connection drops;
-    to prevent this, no connection is ever reported as reused. aiosonic also
-    accepts the end of the stream as the end of a head, so each line is
+    aiosonic resends an idempotent request by itself when a reused connection
+    drops; to prevent this, no connection is ever reported as reused. aiosonic
+    also accepts the end of the stream as the end of a head, so each line is
     checked here.
     """
 
@@ -33,18 +33,6 @@
     def reused(self, _value: bool) -> None:
         """Ignore the value that aiosonic sets."""
 
-    def reuse(self, urlparsed: typing.Any, verify: bool) -> bool:
-        """Return whether the connection is open and has no unread bytes."""
-        return super().reuse(urlparsed, verify) and not self.has_unread_input()
-
-    def has_unread_input(self) -> bool:
-        """Return whether bytes or the end of the stream are unread."""
-        reader = self.reader
-        if reader is None:
-            return True
-        unread = reader._buffer  # noqa: SLF001, WPS437
-        return bool(unread) or reader.at_eof()
-
     def write(self, data: bytes) -> None:
         """Record in the attempt that bytes may be sent, then write them."""
         current_attempt = attempt.CURRENT.get()
@@ -55,22 +43,6 @@
             current_attempt.close_unowned = self.close_unowned
         super().write(data)
 
-    async def __aexit__(
-        self,
-        kind: typing.Any,
-        error: typing.Any,
-        traceback: typing.Any,
-    ) -> None:
-        """Close the connection after any failure or cancellation.
-
-        Otherwise aiosonic would keep a persistent connection open and
-        deliver the late answer on it to the next request.
-        """
-        if kind is not None:
-            self.keep = False
-            self.close()
-        await super().__aexit__(kind, error, traceback)
-
     def close_unowned(self) -> None:
         """Close the connection unless a request owns it.
 
--- a/sapphirepaddle/operators_client.py
+++ b/sapphirepaddle/operators_client.py
@@ -7,11 +7,10 @@
 from collections import abc
 from urllib import parse as urls
 
-import aiosonic
 import orjson
 import pydantic
 
-from sapphirepaddle import codes, errors
+from sapphirepaddle import codes, errors, pooled_connection
 from sapphirepaddle.audit import entry
 from sapphirepaddle.objects import key
 from sapphirepaddle.operators import api, confirmer, plan, planner, report
@@ -53,7 +52,7 @@
         """Initialize a client that has no connection yet."""
         self.addresses = addresses
         self.token = token
-        self.http_client = aiosonic.HTTPClient()
+        self.http_client = pooled_connection.create_client()
 
     async def make_plan(
         self, plan_request: planner.PlanRequest
--- a/sapphirepaddle/replay/sender.py
+++ b/sapphirepaddle/replay/sender.py
@@ -5,11 +5,11 @@
 import time
 import typing
 
-import aiosonic
 import orjson
 import typer
-from aiosonic import connectors, pools
+from aiosonic import pools
 
+from sapphirepaddle import pooled_connection
 from sapphirepaddle.replay import environment, records, trace
 from sapphirepaddle.store import remote
 
@@ -37,9 +37,7 @@
         self.environment = replay_environment
         self.replay_id = replay_id
         pool = pools.PoolConfig(size=MAX_CONNECTIONS, max_conn_requests=None)
-        self.client = aiosonic.HTTPClient(
-            connectors.TCPConnector(pool_configs={':default': pool}),
-        )
+        self.client = pooled_connection.create_client(pool)
         self.results: list[records.RequestResult] = []
         self.started: float = 0
 
--- a/sapphirepaddle/store/remote.py
+++ b/sapphirepaddle/store/remote.py
@@ -5,12 +5,11 @@
 import typing
 from urllib import parse as urls
 
-import aiosonic
 import orjson
 from aiosonic import exceptions
 from aiosonic import timeout as timeouts
 
-from sapphirepaddle import errors
+from sapphirepaddle import errors, pooled_connection
 from sapphirepaddle.store import object_store, stored_object, vm
 
 HTTP_OK: typing.Final = 200
@@ -45,7 +44,7 @@
         self.url = url
         self.headers = {'x-vm': vm_name}
         self.call_seconds = call_seconds
-        self.client = aiosonic.HTTPClient()
+        self.client = pooled_connection.create_client()
         self.calls = 0
 
     async def read(self, key: str) -> stored_object.StoredObject | None:
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -108,6 +108,13 @@
         'from sapphirepaddle.gateway import target_connection\n'
         'target_connection.TargetConnection = plain.Connection',
     ),
+    Mutation(
+        'connections with a late reply are not reused',
+        'store.test_remote.TestLateReplies',
+        'from aiosonic import connection as plain\n'
+        'from sapphirepaddle import pooled_connection\n'
+        'pooled_connection.PooledConnection = plain.Connection',
+    ),
     Mutation(
         'truncated answers are rejected',
         'gateway.test_target_client.TestMalformed',
