--- a/tests/proofs/test_caller_disconnected.py
+++ b/tests/proofs/test_caller_disconnected.py
@@ -77,14 +77,15 @@
     def test_deadline_passed(self) -> None:
         """A request whose deadline passed in a queue must not be sent.
 
-        Slow targets make 50 simultaneous orders wait.
+        Slow targets make 200 simultaneous orders wait, more than can run
+        before their deadline.
         """
         for name in self.fleet.targets:
             self.fleet.set_modes(name, slow_ms=2500)
         trace_result = self.run_trace(
             [
                 request.model_copy(update={'at': 0})
-                for request in fleet_case.order_requests(50, 1000, prefix='d')
+                for request in fleet_case.order_requests(200, 1000, prefix='d')
             ],
         )
         executed = {
