Refuse claims while a segment of their log cannot be decoded

Callers saw: no answer to requests with an idempotency key of that shard.

Cause: Committer.run ends on any error that is not one of the platform, and the futures of its batch are never resolved. A segment that cannot be decoded raised a validation error. Found with the test of late replies on the old code, whose crossed replies were decoded as segments.

Change: segment.decode raises PlatformUnavailableError, as for malformed replies of the platform. The claim is refused as not run, and accepted once the segment can be read.

--- a/sapphirepaddle/claims/segment.py
+++ b/sapphirepaddle/claims/segment.py
@@ -6,6 +6,7 @@
 import orjson
 import pydantic
 
+from sapphirepaddle import errors
 from sapphirepaddle.claims import record
 
 NUMBER_DIGITS: typing.Final = 10
@@ -31,6 +32,18 @@
 ADAPTER: typing.Final = pydantic.TypeAdapter(Segment)
 
 
+def decode(body: bytes | None) -> Segment:
+    """Decode a segment that was read from the platform.
+
+    Raises:
+        PlatformUnavailableError: If it is deleted or cannot be decoded.
+    """
+    try:
+        return ADAPTER.validate_json(body or b'')
+    except ValueError as error:
+        raise errors.PlatformUnavailableError('malformed segment') from error
+
+
 def prefix_of(shard: int) -> str:
     """Return the key prefix of a shard's segments in the platform."""
     return f'claims/{shard}/'
--- a/sapphirepaddle/claims/shard_log.py
+++ b/sapphirepaddle/claims/shard_log.py
@@ -11,7 +11,7 @@
 
 from sapphirepaddle import errors
 from sapphirepaddle.claims import record, segment
-from sapphirepaddle.store import object_store
+from sapphirepaddle.store import object_store, stored_object
 
 State = record.State
 MAX_WRITE_ATTEMPTS: typing.Final = 8
@@ -108,9 +108,7 @@
             if not page:
                 break
             for stored in page:
-                self.apply_segment(
-                    stored.key, stored.body or b'', stored.version
-                )
+                self.apply_segment(stored)
             last_key = page[-1].key
         self.roll()
         self.is_loaded = True
@@ -126,16 +124,21 @@
             stored = await self.store.read(key)
             if stored is None or stored.version == self.newest_version:
                 return
-            self.apply_segment(key, stored.body or b'', stored.version)
+            self.apply_segment(stored)
             if not self.newest_segment.sealed:
                 return
             self.roll()
 
-    def apply_segment(self, key: str, body: bytes, version: int) -> None:
-        """Make a segment the newest one and index its records."""
-        self.newest_number = int(key.rpartition('/')[2])
-        self.newest_segment = segment.ADAPTER.validate_json(body)
-        self.newest_version = version
+    def apply_segment(self, stored: stored_object.StoredObject) -> None:
+        """Make a segment the newest one and index its records.
+
+        Raises:
+            PlatformUnavailableError: If it cannot be decoded.
+        """
+        new_segment = segment.decode(stored.body)
+        self.newest_number = int(stored.key.rpartition('/')[2])
+        self.newest_segment = new_segment
+        self.newest_version = stored.version
         for new_record in self.newest_segment.records:
             self.index_record(new_record)
 
@@ -291,7 +294,7 @@
         )
         if stored is None or stored.body is None:
             return None
-        records = segment.ADAPTER.validate_json(stored.body).records
+        records = segment.decode(stored.body).records
         matching = [candidate for candidate in records if candidate.key == key]
         return matching[-1] if matching else None
 
