Follow the store whatever the members of its answers are

Callers would see: no daemon serves, or none follows targets and configuration any longer, as a watch ends with an error and the daemon with it.

Cause: decoding raised other errors than the ValueError that is handled. RecursionError for members "object" within each other (after 4.5 s for 1 MB), TypeError for keys that are lists or for lists that are numbers, AttributeError for events that are no objects, KeyError and ValueError for the revision.

Ruled out: registrations, entries of daemons and the configuration, whose decoders turn all such errors into their own; infinite numbers, which orjson rejects.

Change: only the object of an event is parsed by members, once. Keys must be strings, lists arrays and revisions numbers; else the member is left out or the call fails and is repeated.

--- a/sapphirepaddle/platform/object_parser.py
+++ b/sapphirepaddle/platform/object_parser.py
@@ -1,6 +1,7 @@
 """Parsing of the store's answers, which other writers may spoil; no I/O."""
 
 import contextlib
+import dataclasses
 import typing
 
 import orjson
@@ -22,14 +23,16 @@
     by one, so that one item hides no other.
 
     Raises:
-        ValueError: If it is not a JSON object.
+        ValueError: If it is not a JSON object, or a list in it is none.
     """
     try:
         decoded = orjson.loads(body or b'{}')
     except orjson.JSONDecodeError:
-        return parse_members(body)
+        decoded = parse_members(body)
     if not isinstance(decoded, dict):
         raise ValueError('not a JSON object')
+    if not all(isinstance(decoded.get(key) or [], list) for key in LIST_KEYS):
+        raise ValueError('not a JSON array')
     return decoded
 
 
@@ -38,7 +41,7 @@
     decoded: Fields = {}
     members = json_members.split_object(json_members.read(body))
     for raw_key, text in members.items():
-        key = orjson.loads(raw_key)
+        key = decode_key(raw_key)
         if key in LIST_KEYS:
             decoded[key] = [
                 parse_item(item) for item in json_members.split_array(text)
@@ -48,28 +51,66 @@
     return decoded
 
 
+def decode_key(raw_key: bytes) -> str:
+    """Decode the key of a member.
+
+    Raises:
+        ValueError: If it is not a string.
+    """
+    key = orjson.loads(raw_key)
+    if not isinstance(key, str):
+        raise ValueError('key is not a string')
+    return key
+
+
 def parse_item(item: json_members.Text) -> Fields:
-    """Parse an item; members that cannot be decoded are left out."""
+    """Parse an item; members that cannot be decoded are left out.
+
+    So are those of the object of an event, but of no object within it.
+    """
+    parsed = parse_item_members(item)
+    object_text = parsed.undecoded.get(OBJECT_KEY)
+    if object_text is None:
+        return parsed.fields
+    return parsed.fields | {OBJECT_KEY: parse_item_members(object_text).fields}
+
+
+def parse_item_members(item: json_members.Text) -> 'ParsedItem':
+    """Parse an item as a whole or, if that fails, member by member."""
+    parsed = ParsedItem()
     with contextlib.suppress(orjson.JSONDecodeError):
-        fields = orjson.loads(item.raw)
-        return fields if isinstance(fields, dict) else {}
+        decoded = orjson.loads(item.raw)
+        return ParsedItem(decoded) if isinstance(decoded, dict) else parsed
     try:
         members = json_members.split_object(item)
     except ValueError:
-        return {}
-    return parse_item_members(members)
+        return parsed
+    for raw_key, text in members.items():
+        with contextlib.suppress(ValueError):
+            parsed.add_member(decode_key(raw_key), text)
+    return parsed
 
 
-def parse_item_members(members: dict[bytes, json_members.Text]) -> Fields:
-    """Parse the members of an item; what cannot be decoded is left out."""
-    fields: Fields = {}
-    for raw_key, text in members.items():
+@dataclasses.dataclass(slots=True)
+class ParsedItem:
+    """Members of an item.
+
+    Attributes:
+        fields: Decoded members.
+        undecoded: Text of the members that cannot be decoded.
+    """
+
+    fields: Fields = dataclasses.field(default_factory=dict)
+    undecoded: dict[str, json_members.Text] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add_member(self, key: str, text: json_members.Text) -> None:
+        """Decode a member, or keep its text."""
         try:
-            fields[orjson.loads(raw_key)] = orjson.loads(text.raw)
+            self.fields[key] = orjson.loads(text.raw)
         except orjson.JSONDecodeError:
-            if raw_key.strip(b'"') == OBJECT_KEY.encode():
-                fields[OBJECT_KEY] = parse_item(text)
-    return fields
+            self.undecoded[key] = text
 
 
 def read_entry(fields: Fields) -> source.Entry | None:
@@ -98,6 +139,8 @@
 
     The entry of a deleted object has no content.
     """
+    if not isinstance(fields, dict):
+        return None
     entry = read_entry(fields.get(OBJECT_KEY) or {})
     if entry is not None and fields.get('deleted'):
         return source.Entry(entry.name, None)
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -23,6 +23,7 @@
 """Extra time for the answer of a watch beyond its requested wait."""
 MAX_INLINE_BYTES: typing.Final = 65536
 """Size of an answer above which it is decoded in a thread."""
+REVISION_KEY: typing.Final = 'currentRev'
 HTTP_OK: typing.Final = 200
 HTTP_NOT_FOUND: typing.Final = 404
 HTTP_CONFLICT: typing.Final = 409
@@ -62,7 +63,9 @@
             )
             entries.extend(page)
             if not answer.get('truncated') or not page:
-                return source.ReadResult(int(answer['currentRev']), entries)
+                return source.ReadResult(
+                    read_revision(answer.get(REVISION_KEY)), entries
+                )
             query = query | {'after': page[-1].name}
 
     async def watch(
@@ -83,7 +86,7 @@
             timeout_seconds=seconds + WATCH_GRACE_SECONDS,
         )
         return source.ReadResult(
-            int(answer.get('currentRev') or revision),
+            read_revision(answer.get(REVISION_KEY) or revision),
             self.read_entries(
                 answer.get('events') or (), object_parser.read_event
             ),
@@ -149,6 +152,18 @@
     """The object to create already exists."""
 
 
+def read_revision(field: typing.Any) -> int:
+    """Return the revision of the store that an answer states.
+
+    Raises:
+        SourceError: If it is not a number.
+    """
+    try:
+        return int(field)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise errors.SourceError('answer without a revision') from error
+
+
 async def decode(body: bytes) -> source.Content:
     """Decode a body that must be a JSON object; an empty body is {}.
 
--- a/tests/platform/test_object_parser.py
+++ b/tests/platform/test_object_parser.py
@@ -32,8 +32,17 @@
     ),
     max_leaves=15,
 )
-
-
+JSON_TOKENS = (
+    *(bytes((byte,)) for byte in b'{}[]:,"\\1- '),
+    b'"events"',
+    b'"object"',
+    b'"metadata"',
+    b'"name"',
+    b'null',
+    b'NaN',
+    b'\xff',
+)
+"""Tokens of bodies, most of which are not valid JSON."""
 ITEM_BYTES = 1000000
 BYTES_PER_STEP = 50
 """Least mean number of bytes that one call of a function has to cover."""
@@ -122,8 +131,49 @@
             with self.subTest(item=item):
                 self.assertIsNone(object_parser.read_entry(item))
 
+    def test_events_without_an_object(self) -> None:
+        # Daemons stopped at an event that is not an object.
+        for event in ({}, {'object': None}, {'object': []}, [], None, 'a', 3):
+            with self.subTest(event=event):
+                self.assertIsNone(object_parser.read_event(event))
+
+    def test_nested_objects_of_an_event(self) -> None:
+        # Daemons stopped at the recursion limit; the event loop waited 4 s.
+        nested = b'{"object":' * (ITEM_BYTES // 11)
+        item = nested + b'NaN' + b'}' * (ITEM_BYTES // 11)
+        for body in (
+            b'{"currentRev":7,"events":[' + item + b']}',
+            b'{"currentRev":7,"items":[' + item + b',{"metadata":{}}]}',
+        ):
+            decoded: list[object_parser.Fields] = []
+            steps = count_steps(
+                lambda body=body, decoded=decoded: decoded.append(
+                    object_parser.parse(body)
+                )
+            )
+            self.assertLess(steps, len(body) / BYTES_PER_STEP)
+            self.assertEqual(decoded[0]['currentRev'], 7)
+
+    def test_keys_that_are_no_strings(self) -> None:
+        # Daemons stopped, as lists and objects are not hashable.
+        item = b'{"metadata":{"name":"odd"},[1]:1,{}:2,null:3,"spec":{}}'
+        decoded = object_parser.parse(b'{"items":[' + item + b']}')
+        entry = object_parser.read_entry(decoded['items'][0])
+        self.assertEqual(entry, source.Entry('odd', {}))
+        for key in (b'[1]', b'{}', b'null'):
+            with self.subTest(key=key), self.assertRaises(ValueError):
+                object_parser.parse(b'{"items":[],' + key + b':1}')
+
     def test_body_that_is_no_object(self) -> None:
-        for body in (b'[]', b'{"items": [', b'text', b'\xff'):
+        for body in (
+            b'[]',
+            b'{"items": [',
+            b'text',
+            b'\xff',
+            b'{"items": 3}',
+            b'{"events": {"a": 1}}',
+            b'{"items": "text", "x": NaN}',
+        ):
             with self.subTest(body=body), self.assertRaises(ValueError):
                 object_parser.parse(body)
 
@@ -135,6 +185,20 @@
             ):
                 registrations.decode_target(name, VALID)
 
+    @hypothesis.settings(
+        deadline=None, max_examples=2000, derandomize=True, database=None
+    )
+    @hypothesis.given(strategies.lists(strategies.sampled_from(JSON_TOKENS)))
+    def test_any_body_is_decoded_or_rejected(self, tokens: list[bytes]) -> None:
+        body = b'{"events":[' + b''.join(tokens) + b'],"currentRev":7}'
+        try:
+            decoded = object_parser.parse(body)
+        except ValueError:
+            return
+        for fields in decoded.get('events') or ():
+            object_parser.read_entry(fields)
+            object_parser.read_event(fields)
+
     @hypothesis.settings(
         deadline=None, max_examples=300, derandomize=True, database=None
     )
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -74,6 +74,25 @@
         finished.set()
         self.assertEqual(await decoding, {'has_loop_run': True})
 
+    async def test_answer_without_a_revision_is_an_error(self) -> None:
+        # Any other error would end the watch and stop the daemon.
+        for revision in ({}, {'currentRev': None}, {'currentRev': [1]}):
+            answer = {'items': [], 'events': []} | revision
+            parse = mock.Mock(return_value=answer)
+            with (
+                self.subTest(revision=revision),
+                mock.patch.object(object_parser, 'parse', parse),
+                self.assertRaises(errors.SourceError),
+            ):
+                await self.source.list_all('kind', is_stale_allowed=False)
+        answer = {'events': [], 'currentRev': 'text'}
+        parse = mock.Mock(return_value=answer)
+        with (
+            mock.patch.object(object_parser, 'parse', parse),
+            self.assertRaises(errors.SourceError),
+        ):
+            await self.source.watch('kind', 1, 0, is_stale_allowed=False)
+
     async def test_names_are_quoted(self) -> None:
         await self.put('a/b c', number=1)
         await self.put('a/b c', number=2)
