--- a/tests/platform/test_object_parser.py
+++ b/tests/platform/test_object_parser.py
@@ -132,13 +132,13 @@
                 self.assertIsNone(object_parser.read_entry(item))
 
     def test_events_without_an_object(self) -> None:
-        # Daemons stopped at an event that is not an object.
+        # A watch ended at an event that is not an object.
         for event in ({}, {'object': None}, {'object': []}, [], None, 'a', 3):
             with self.subTest(event=event):
                 self.assertIsNone(object_parser.read_event(event))
 
     def test_nested_objects_of_an_event(self) -> None:
-        # Daemons stopped at the recursion limit; the event loop waited 4 s.
+        # A watch ended at the recursion limit, after 4 s for 1 MB.
         nested = b'{"object":' * (ITEM_BYTES // 11)
         item = nested + b'NaN' + b'}' * (ITEM_BYTES // 11)
         for body in (
@@ -155,7 +155,7 @@
             self.assertEqual(decoded[0]['currentRev'], 7)
 
     def test_keys_that_are_no_strings(self) -> None:
-        # Daemons stopped, as lists and objects are not hashable.
+        # A watch ended, as lists and objects are not hashable.
         item = b'{"metadata":{"name":"odd"},[1]:1,{}:2,null:3,"spec":{}}'
         decoded = object_parser.parse(b'{"items":[' + item + b']}')
         entry = object_parser.read_entry(decoded['items'][0])
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -75,7 +75,7 @@
         self.assertEqual(await decoding, {'has_loop_run': True})
 
     async def test_answer_without_a_revision_is_an_error(self) -> None:
-        # Any other error would end the watch and stop the daemon.
+        # Any other error would end the watch.
         for revision in ({}, {'currentRev': None}, {'currentRev': [1]}):
             answer = {'items': [], 'events': []} | revision
             parse = mock.Mock(return_value=answer)
