Repeat a read of a newer configuration that gets no answer

Cause: the first readers of the zones had version 13 at 15.93. 109 daemons learned of it from them and read it 0.3 s later; the store, silent from 16.21 to 16.83, swallowed these reads. They timed out after 2.5 s (18.9 to 19.3). Half of the daemons had the version at 20.2, the last at 21.1; the store was stable from 19.83.

Ruled out: the watches of the first readers, which got the version at once; digests (all daemons knew of the newer version by 16.5).

Change: a read gets 0.8 s and is repeated once, without a pause, before a peer is asked. Refused calls go to the peer at the second try as well.

--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -39,6 +39,11 @@
 MAX_PENDING_LAG_SECONDS: typing.Final = 0.3
 """The same while a watch call is pending that was made before: it should have
 returned the newer configuration at once, and may never be answered."""
+NEWER_CONFIGURATION_SECONDS: typing.Final = 0.8
+"""Timeout of one read of a configuration that peers have."""
+NEWER_CONFIGURATION_READS: typing.Final = 2
+"""Number of such reads before a peer is asked. All of them together must end
+within the time in which the source counts as stable again."""
 
 
 class StateSynchronizer:
@@ -335,27 +340,37 @@
     async def read_newer_configuration(self) -> None:
         """Read a configuration that peers have and the watch missed.
 
-        The snapshot of a peer is fetched if the source does not answer, or
-        if the target watcher found out before that it does not.
+        A read that gets no answer is repeated: a short silence of the source
+        may have swallowed it. The snapshot of a peer is fetched if the source
+        does not answer, or if the target watcher found out before that it does
+        not.
         """
         self.logger.info(
             'configuration older than that of peers',
             version=self.directory.version,
             newest=self.count_exchange.digest_receiver.newest_version,
         )
+        reads = NEWER_CONFIGURATION_READS
         if self.target_watcher.unavailable_since is not None:
-            await self.fetch_newest_snapshot()
-            return
+            reads = 0
+        for _ in range(reads):
+            if await self.has_read_configuration():
+                return
+        await self.fetch_newest_snapshot()
+
+    async def has_read_configuration(self) -> bool:
+        """Read the configuration; return whether the source answered."""
         try:
-            listing = await self.platform.source.list_all(
-                self.platform.configuration_kind,
-                is_stale_allowed=False,
-            )
-        except errors.SourceError as error:
-            self.logger.info('configuration not read', reason=error.detail)
-            await self.fetch_newest_snapshot()
-            return
+            async with asyncio.timeout(NEWER_CONFIGURATION_SECONDS):
+                listing = await self.platform.source.list_all(
+                    self.platform.configuration_kind,
+                    is_stale_allowed=False,
+                )
+        except (errors.SourceError, TimeoutError) as error:
+            self.logger.info('configuration not read', reason=str(error))
+            return False
         self.apply_configuration_entries(listing.entries)
+        return True
 
     async def fetch_newest_snapshot(self) -> None:
         """Fetch the snapshot of a peer with the newest configuration."""
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -1,8 +1,9 @@
 """Tests of the readers of the source and of daemons that follow them."""
 
+import asyncio
 from unittest import mock
 
-from sapphirepaddle import clock
+from sapphirepaddle import clock, codes, errors
 from sapphirepaddle.directory import object_watcher, source
 from sapphirepaddle.edge import daemon, reader_role
 from sapphirepaddle.peers import answer_runs, count_exchange
@@ -197,6 +198,61 @@
             seconds=10,
         )
 
+    async def swallow_reads_of_newer_configuration(self) -> None:
+        """Let the readers get a configuration and the reads of others hang."""
+        self.swallows_reads = True
+        swallowed: list[str] = []
+        list_all = self.source.list_all
+
+        async def list_or_hang(
+            kind: str, is_stale_allowed: bool
+        ) -> source.ReadResult:
+            if kind == 'config' and self.swallows_reads:
+                swallowed.append(kind)
+                await asyncio.sleep(3600)
+            return await list_all(kind, is_stale_allowed)
+
+        self.enterContext(
+            mock.patch.object(self.source, 'list_all', list_or_hang)
+        )
+        await self.configure(platform_objects.configuration(3))
+        await self.wait_until(lambda: bool(self.daemons_at_version(3)))
+        others = len(self.daemons) - len(self.daemons_at_version(3))
+        self.assertGreater(others, 0)
+        await self.wait_until(lambda: len(swallowed) >= others)
+
+    def daemons_at_version(self, version: int) -> list[daemon.EdgeDaemon]:
+        """Return the daemons that have a version of the configuration."""
+        return [
+            edge_daemon
+            for edge_daemon in self.daemons
+            if edge_daemon.components.directory.version == version
+        ]
+
+    async def test_configuration_after_a_silence_that_swallowed_its_reads(
+        self,
+    ) -> None:
+        # Daemons behind their peers waited for the read, then for a snapshot.
+        for edge_daemon in self.daemons:
+            exchange = edge_daemon.components.synchronizer.snapshot_exchange
+            exchange.fetch = mock.AsyncMock(
+                side_effect=errors.PeerError(codes.PEER_MALFORMED, 'slow')
+            )
+        await self.swallow_reads_of_newer_configuration()
+        self.swallows_reads = False
+        await self.wait_until(
+            lambda: len(self.daemons_at_version(3)) == len(self.daemons)
+        )
+
+    async def test_configuration_of_a_peer_while_the_source_is_silent(
+        self,
+    ) -> None:
+        # Reads that get no answer must not keep a daemon from asking a peer.
+        await self.swallow_reads_of_newer_configuration()
+        await self.wait_until(
+            lambda: len(self.daemons_at_version(3)) == len(self.daemons)
+        )
+
     async def test_targets_that_lapsed_in_an_unnoticed_outage_are_kept(
         self,
     ) -> None:
