--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -115,6 +115,19 @@
         'from sapphirepaddle import pooled_connection\n'
         'pooled_connection.PooledConnection = plain.Connection',
     ),
+    Mutation(
+        'a segment that cannot be decoded counts as an unavailable platform',
+        'claims.test_committer.TestMalformedSegment',
+        'from sapphirepaddle.claims import segment\n'
+        'segment.decode = segment.ADAPTER.validate_json',
+    ),
+    Mutation(
+        'a read of a newer configuration without an answer is repeated',
+        'edge.test_reader_role.TestReaderRole.'
+        'test_configuration_after_a_silence_that_swallowed_its_reads',
+        'from sapphirepaddle.edge import state_synchronizer\n'
+        'state_synchronizer.NEWER_CONFIGURATION_SECONDS = 3600',
+    ),
     Mutation(
         'truncated answers are rejected',
         'gateway.test_target_client.TestMalformed',
