Log how refusals of targets arrived and what an unanswered request was told on

The attempt line of a refusal gives now the exchanges on its connection before, the answers skipped before it and whether it names the request; a request without an answer gets a line with its sends, the refusals among them and whether it may have run.

Test: tests.edge.test_telemetry (the new case fails without the fields).

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -213,14 +213,22 @@
             self.connection_pool.return_idle(address, connection)
         else:
             connection.close()
+        origin = attempt_result.AnswerOrigin(
+            exchange_count=connection.exchange_count - 1,
+            skipped_count=answer.skipped_count,
+            is_identified=bool(metadata.identifier),
+        )
         if metadata.is_misdirected:
             target.record_misdirected(clock.monotonic())
-            return AttemptResult(AttemptResultKind.NOT_RUN, 'misdirected')
+            return AttemptResult(
+                AttemptResultKind.NOT_RUN, 'misdirected', origin=origin
+            )
         if metadata.is_not_run:
             return AttemptResult(
                 AttemptResultKind.NOT_RUN,
                 f'refused {answer.status}',
                 is_pause_stated=bool(metadata.pause_seconds),
+                origin=origin,
             )
         if answer.status in SUCCESS_STATUSES:
             return classify_success(context, metadata, answer)
--- a/sapphirepaddle/proxy/attempt_result.py
+++ b/sapphirepaddle/proxy/attempt_result.py
@@ -23,6 +23,22 @@
     LOST = 'may have run'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerOrigin:
+    """How an answer arrived: evidence to which request it belongs.
+
+    Attributes:
+        exchange_count: Number of complete exchanges on its connection before.
+        skipped_count: Number of answers to other requests that arrived before
+            it, since the request was sent.
+        is_identified: Whether it carries the identifier of the request.
+    """
+
+    exchange_count: int
+    skipped_count: int
+    is_identified: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The result of one attempt.
@@ -32,12 +48,14 @@
         reason: Status or failure, for logs.
         answer: The target's complete answer if it can be passed on.
         is_pause_stated: Whether the target asked for a pause.
+        origin: How the answer arrived; None if there was none.
     """
 
     kind: AttemptResultKind
     reason: str
     answer: http_message.ReceivedAnswer | None = None
     is_pause_stated: bool = False
+    origin: AnswerOrigin | None = None
 
     @property
     def final_answer(self) -> http_message.ReceivedAnswer | None:
--- a/sapphirepaddle/proxy/http_message.py
+++ b/sapphirepaddle/proxy/http_message.py
@@ -43,12 +43,15 @@
         headers: Headers in order.
         body: The complete body.
         is_reusable: Whether the connection accepts another request.
+        skipped_count: Number of answers to other requests that arrived on the
+            connection before it, since the request was sent.
     """
 
     status: int
     headers: header_codec.Headers
     body: bytes
     is_reusable: bool
+    skipped_count: int = 0
 
 
 MAX_HEAD_BYTES: typing.Final = 65536
--- a/sapphirepaddle/proxy/request_context.py
+++ b/sapphirepaddle/proxy/request_context.py
@@ -26,6 +26,7 @@
             not be reached.
         sent_targets: Names of the targets that it was sent to.
         send_count: How often it was sent.
+        refusal_count: How often a target stated that it did not run it.
         resend_count: How often it was sent again after a pause.
         connecting_count: Attempts that still connect and may send it.
         may_have_run: Whether a target may have run it.
@@ -44,6 +45,7 @@
     tried_targets: set[str] = dataclasses.field(default_factory=set)
     sent_targets: set[str] = dataclasses.field(default_factory=set)
     send_count: int = 0
+    refusal_count: int = 0
     resend_count: int = 0
     connecting_count: int = 0
     may_have_run: bool = False
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -88,6 +88,25 @@
                 request may have run.
         """
         running: set[asyncio.Task[attempt_result.AttemptResult]] = set()
+        try:
+            return await self.run_until_stopped(context, running)
+        except errors.RefusedError:
+            self.log_unanswered(context)
+            raise
+        finally:
+            await cancel_attempts(running)
+
+    async def run_until_stopped(
+        self,
+        context: request_context.RequestContext,
+        running: set[asyncio.Task[attempt_result.AttemptResult]],
+    ) -> http_message.ReceivedAnswer:
+        """Send a request until it is answered or the daemon stops.
+
+        Args:
+            context: State of the request.
+            running: Updated with the tasks of the running attempts.
+        """
         try:
             async with self.stop_deadline.limit():
                 return await self.run_until_answered(context, running)
@@ -97,8 +116,6 @@
                 if result.final_answer is not None:
                     return result.final_answer
             return answer_at_stop(context)
-        finally:
-            await cancel_attempts(running)
 
     async def run_until_answered(
         self,
@@ -298,6 +315,8 @@
         is_bad = False
         try:
             result = await self.attempt_runner.send(context, target, connection)
+            if result.kind is AttemptResultKind.NOT_RUN:
+                context.refusal_count += 1
             is_bad = self.record_result(context, target, result, started_at)
         except asyncio.CancelledError:
             context.may_have_run = True
@@ -345,6 +364,7 @@
             reason=result.reason,
             seconds=round(seconds, 3),
             suspicion=round(target.target_estimator.fault_probability(now), 2),
+            **origin_fields(result),
         )
         return is_bad
 
@@ -376,6 +396,17 @@
             candidates=len(context.service_targets.candidates),
         )
 
+    def log_unanswered(self, context: request_context.RequestContext) -> None:
+        """Log how often a request without an answer was sent and refused."""
+        self.decisions.log_decision(
+            'unanswered',
+            request=context.identifier,
+            service=context.service,
+            sends=context.send_count,
+            refusals=context.refusal_count,
+            may_have_run=context.may_have_run,
+        )
+
     def log_cancelled(
         self,
         context: request_context.RequestContext,
@@ -406,6 +437,19 @@
         )
 
 
+def origin_fields(
+    result: attempt_result.AttemptResult,
+) -> dict[str, int | bool]:
+    """Return the log fields that tell how an answer arrived."""
+    if result.origin is None:
+        return {}
+    return {
+        'exchanges': result.origin.exchange_count,
+        'skipped': result.origin.skipped_count,
+        'identified': result.origin.is_identified,
+    }
+
+
 async def cancel_attempts(
     running: abc.Collection[asyncio.Task[attempt_result.AttemptResult]],
 ) -> list[attempt_result.AttemptResult]:
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -112,10 +112,10 @@
         self, outgoing: http_message.OutgoingRequest
     ) -> http_message.ReceivedAnswer:
         """Read answers until one matches the request."""
-        for _ in range(MAX_SKIPPED_HEADS):
+        for skipped_count in range(MAX_SKIPPED_HEADS):
             answer = await self.read_answer(outgoing.method)
             if outgoing.matches(answer.status, answer.headers):
-                return answer
+                return dataclasses.replace(answer, skipped_count=skipped_count)
             if not answer.is_reusable:
                 raise h11.RemoteProtocolError('answer to another request')
             self.reset_parser(outgoing)
--- a/tests/edge/test_telemetry.py
+++ b/tests/edge/test_telemetry.py
@@ -80,6 +80,26 @@
         for line in request_lines:
             self.assertLessEqual(FIELDS[line['event']], line.keys())
 
+    async def test_refusals_of_targets_log_how_they_arrived(self) -> None:
+        async def refuse(received: scripted_target.ReceivedRequest) -> None:
+            received.refuse()
+
+        for target in self.targets.values():
+            target.script = refuse
+        lines = await self.lines(request('/reads/x', 'why'))
+        refused = [line for line in lines if line['event'] == 'attempt']
+        self.assertEqual(
+            [
+                (line['exchanges'], line['skipped'], line['identified'])
+                for line in refused
+            ],
+            [(0, 0, True)] * len(refused),
+        )
+        unanswered = [line for line in lines if line['event'] == 'unanswered']
+        self.assertEqual(unanswered[0]['sends'], len(refused))
+        self.assertEqual(unanswered[0]['refusals'], len(refused))
+        self.assertFalse(unanswered[0]['may_have_run'])
+
     async def test_cancelled_send_is_logged(self) -> None:
         async def hang(_received: scripted_target.ReceivedRequest) -> None:
             await asyncio.sleep(5)
