A refused request that is sent again gets another connection

Callers saw an order run twice, or got 503 for an order that its target ran: a target refused it, the caller sent it again at once with the same X-Request-Id, and the target wrote the earlier refusal once more on the kept connection.

Cause: the identifier in an answer names a request of the caller, not a sending. What kept a request off connections with its own refusal (sent_targets) lives as long as one request at the daemon; the caller's next one starts without it.

Change: a connection remembers the identifiers that were refused on it, at most 64, and is passed over for a request with one of them; it stays idle for all others. So a refusal is believed only on a connection where it cannot be a copy, at the price of a new connection only for requests that come back.

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -78,8 +78,9 @@
     ) -> target_connection.TargetConnection:
         """Return an idle or a new connection to a target.
 
-        A request that the target turned away gets a new connection: on the
-        former one a copy of the refusal could be taken for its answer.
+        A request that the target turned away gets another connection: on the
+        former one a copy of the refusal could be taken for its answer. Its
+        caller may send it again with the same identifier.
 
         Raises:
             TargetError: If none opens in time; nothing was sent.
@@ -88,7 +89,7 @@
         address = (registration.host, registration.port)
         if registration.name not in context.sent_targets:
             connection = await self.connection_pool.acquire_idle(
-                address, max_idle_seconds(context, target)
+                address, max_idle_seconds(context, target), context.identifier
             )
             if connection is not None:
                 return connection
@@ -209,6 +210,8 @@
         self.notices.apply(context, target, metadata)
         if metadata.idle_seconds is not None:
             target.keep_alive_seconds = metadata.idle_seconds
+        if metadata.is_not_run:
+            connection.refused_identifiers.add(context.identifier)
         if answer.is_reusable:
             self.connection_pool.return_idle(address, connection)
         else:
--- a/sapphirepaddle/proxy/connection_pool.py
+++ b/sapphirepaddle/proxy/connection_pool.py
@@ -8,6 +8,9 @@
 MAX_IDLE_PER_TARGET: typing.Final = 4
 """Maximum number of idle connections to one target."""
 
+MAX_REFUSALS: typing.Final = 64
+"""Maximum number of refused requests that a kept connection remembers."""
+
 Address = tuple[str, int]
 
 
@@ -30,16 +33,27 @@
         self,
         address: Address,
         max_idle_seconds: float,
+        identifier: str = '',
     ) -> target_connection.TargetConnection | None:
         """Return an idle connection, or None if none is usable.
 
         Args:
             address: Host and port.
             max_idle_seconds: Maximum idle time of the connection.
+            identifier: Identifier of the request; a connection on which it
+                was refused stays idle.
         """
         idle_connections = self.idle.get(address, [])
-        while idle_connections:
-            connection = idle_connections.pop()
+        usable = [
+            connection
+            for connection in idle_connections
+            if identifier not in connection.refused_identifiers
+        ]
+        for connection in reversed(usable):
+            # Another request may have taken or closed it meanwhile.
+            if connection not in idle_connections:
+                continue
+            idle_connections.remove(connection)
             is_recent = (
                 clock.monotonic() - connection.idle_since <= max_idle_seconds
             )
@@ -69,6 +83,9 @@
         connection: target_connection.TargetConnection,
     ) -> None:
         """Keep a connection for reuse after an exchange, or close it."""
+        if len(connection.refused_identifiers) > MAX_REFUSALS:
+            connection.close()
+            return
         idle_connections = self.idle.setdefault(address, [])
         if not connection.start_idle():
             connection.close()
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -38,6 +38,9 @@
         answer_memory: Memory budget for the bodies of answers.
         http: Parser and serializer of the exchange.
         exchange_count: Number of exchanges that ended with a complete answer.
+        refused_identifiers: Identifiers of the requests that the target
+            refused on it. Sent here again, such a request could get a copy of
+            its earlier refusal for an answer.
         idle_since: When the last exchange ended, on the monotonic clock.
         idle_watch: Task that ends when data or a close arrives while the
             connection is idle.
@@ -55,6 +58,7 @@
         self.answer_memory = answer_memory
         self.http = new_parser()
         self.exchange_count = 0
+        self.refused_identifiers: set[str] = set()
         self.idle_since = clock.monotonic()
         self.idle_watch: asyncio.Task[None] | None = None
 
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -404,6 +404,15 @@
         'attempt.AttemptRunner.is_answer_to = (\n'
         '    lambda self, identifier, status, headers, is_new: True)',
     ),
+    Mutation(
+        'edge: a refused request gets another connection when sent again',
+        'edge.test_requests_sent_again',
+        'from sapphirepaddle.proxy import connection_pool\n'
+        'acquire = connection_pool.ConnectionPool.acquire_idle\n'
+        'connection_pool.ConnectionPool.acquire_idle = (\n'
+        '    lambda self, address, seconds, identifier="":\n'
+        '    acquire(self, address, seconds))',
+    ),
     Mutation(
         'edge: statements of targets are obeyed',
         'edge.test_target_notices.TestPauses',
