Count a request as run unless its target stated otherwise

A request whose attempt ended without a result could be refused as not run (503) although it had been sent: nothing but a recorded result or a cancellation set may_have_run. A TimeoutError out of an attempt was taken for the end of a planned stop, too. No input is known that does it; found by reading every place that decides between 503 and 502.

Change: a sending counts as run from its start; only the statement of its target takes it back (refusal_count). may_have_run is derived from both, so an end that nobody thought of is on the safe side.

Test: tests.proxy.test_sender.TestAttemptWithoutResult got 'not run' before.

--- a/sapphirepaddle/proxy/request_context.py
+++ b/sapphirepaddle/proxy/request_context.py
@@ -26,10 +26,10 @@
             not be reached.
         sent_targets: Names of the targets that it was sent to.
         send_count: How often it was sent.
-        refusal_count: How often a target stated that it did not run it.
+        refusal_count: How often a target stated that it did not run and will
+            not.
         resend_count: How often it was sent again after a pause.
         connecting_count: Attempts that still connect and may send it.
-        may_have_run: Whether a target may have run it.
         failure_answer: A target's own failure, passed on if no target gives a
             better answer.
     """
@@ -48,7 +48,6 @@
     refusal_count: int = 0
     resend_count: int = 0
     connecting_count: int = 0
-    may_have_run: bool = False
     failure_answer: http_message.ReceivedAnswer | None = None
 
     @property
@@ -56,6 +55,15 @@
         """Return the seconds until the deadline."""
         return self.deadline - clock.monotonic()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a target may have run it, or may run it yet.
+
+        Every sending counts as run unless its target stated otherwise, however
+        the attempt ended.
+        """
+        return self.refusal_count < self.send_count
+
     @property
     def is_attempt_limit_reached(self) -> bool:
         """Return whether its attempts use up what the route allows."""
@@ -79,10 +87,7 @@
         """Return the name of the client account; empty for none."""
         return self.account.name if self.account else ''
 
-    def record_result(self, result: attempt_result.AttemptResult) -> None:
-        """Update the state with the result of an attempt."""
-        if result.kind is attempt_result.AttemptResultKind.NOT_RUN:
-            return
-        self.may_have_run = True
+    def record_failure(self, result: attempt_result.AttemptResult) -> None:
+        """Keep the answer of a failed attempt."""
         if result.kind is attempt_result.AttemptResultKind.FAILED:
             self.failure_answer = result.answer
--- a/sapphirepaddle/proxy/sender.py
+++ b/sapphirepaddle/proxy/sender.py
@@ -112,7 +112,7 @@
                 return await self.run_until_answered(context, running)
         except TimeoutError:
             for result in await cancel_attempts(running):
-                context.record_result(result)
+                context.record_failure(result)
                 if result.final_answer is not None:
                     return result.final_answer
             return answer_at_stop(context)
@@ -138,7 +138,7 @@
             for task in done:
                 running.remove(task)
                 result = task.result()
-                context.record_result(result)
+                context.record_failure(result)
                 if result.final_answer is not None:
                     return result.final_answer
             if await self.may_start(context, is_hedge=bool(running)):
@@ -319,7 +319,6 @@
                 context.refusal_count += 1
             is_bad = self.record_result(context, target, result, started_at)
         except asyncio.CancelledError:
-            context.may_have_run = True
             self.log_cancelled(context, target, started_at)
             raise
         finally:
--- a/tests/proxy/test_sender.py
+++ b/tests/proxy/test_sender.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from sapphirepaddle import clock
+from sapphirepaddle import clock, codes
 from sapphirepaddle.directory import route
 from sapphirepaddle.proxy import (
     attempt_result,
@@ -139,16 +139,21 @@
         context: request_context.RequestContext,
     ) -> list[str]:
         """Return the targets that got a request."""
-        retrying_sender = sender.RetryingSender(
+        with self.assertRaises(sender.errors.RefusedError):
+            await self.build_sender(attempt_runner).run(context)
+        return attempt_runner.sent
+
+    def build_sender(
+        self, attempt_runner: SlowAttempts
+    ) -> sender.RetryingSender:
+        """Return a sender whose retries are all allowed."""
+        return sender.RetryingSender(
             typing.cast(typing.Any, attempt_runner),
             lambda _service: True,
             lambda _target: None,
             lambda _target, _is_bad: None,
             decisions.DecisionLog(counters.Counters()),
         )
-        with self.assertRaises(sender.errors.RefusedError):
-            await retrying_sender.run(context)
-        return attempt_runner.sent
 
 
 class TestAttemptLimit(SenderCase):
@@ -321,6 +326,44 @@
         self.assertEqual(len(sent), 2)
 
 
+class FailingAttempts(SlowAttempts):
+    """Attempts that end with an error after the request was sent.
+
+    Attributes:
+        error: The error.
+    """
+
+    def __init__(self, error: Exception) -> None:
+        """Initialize without attempts."""
+        super().__init__([0])
+        self.error = error
+
+    async def send(
+        self,
+        _context: request_context.RequestContext,
+        target: candidate.Candidate,
+        _connection: object,
+    ) -> attempt_result.AttemptResult:
+        """Raise the error."""
+        self.sent.append(target.registration.name)
+        raise self.error
+
+
+class TestAttemptWithoutResult(SenderCase):
+    """A request counts as run unless its target states otherwise.
+
+    An attempt may end without a result after the request was sent.
+    """
+
+    async def test_refusal_promises_nothing(self) -> None:
+        retrying_sender = self.build_sender(FailingAttempts(TimeoutError()))
+        with self.assertRaises(sender.errors.RefusedError) as caught:
+            await retrying_sender.run(self.build_context())
+        self.assertEqual(
+            caught.exception.code.run_statement, codes.MAY_HAVE_RUN
+        )
+
+
 class TestResendPolicy(unittest.TestCase):
     """Pauses grow, differ between requests and leave time for an answer."""
 
