Believe a refusal that names no request only as the first answer on its connection

Callers got 503 for an order that its target ran: on a new connection a faulty target wrote an answer to another request, a refusal without identifier, and then ran the order.

Cause: such a refusal was believed on a connection without a complete exchange before; answers that were skipped within the exchange did not count, although they show that the connection carries answers to other requests. Ruled out: connections with an exchange before, where it is skipped since; probes, which this daemon does not send.

Change: it is believed only as the very first answer on its connection.

Test: test_copy_behind_an_answer_on_a_new_connection ended in 503 before.

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -109,11 +109,7 @@
         The connection returns to the pool after a complete answer and is
         closed otherwise.
         """
-        outgoing = self.build_request(
-            context,
-            target.registration.name,
-            is_connection_new=not connection.exchange_count,
-        )
+        outgoing = self.build_request(context, target.registration.name)
         try:
             async with asyncio.timeout(
                 context.remaining_seconds + ANSWER_MARGIN_SECONDS
@@ -131,18 +127,9 @@
         return self.classify_answer(context, target, connection, answer)
 
     def build_request(
-        self,
-        context: request_context.RequestContext,
-        target_name: str,
-        is_connection_new: bool,
+        self, context: request_context.RequestContext, target_name: str
     ) -> http_message.OutgoingRequest:
-        """Return the request in the form that is sent to the target.
-
-        Args:
-            context: State of the request.
-            target_name: Name of the target.
-            is_connection_new: Whether no request was sent on its connection.
-        """
+        """Return the request in the form that is sent to the target."""
         request = context.request
         values_by_name = {
             name.lower(): header_value for name, header_value in request.headers
@@ -168,11 +155,8 @@
             target=request.target,
             headers=target_headers,
             body=request.body,
-            matches=lambda status, headers: self.is_answer_to(
-                context.identifier,
-                status,
-                headers,
-                is_connection_new,
+            matches=lambda status, headers, is_first: self.is_answer_to(
+                context.identifier, status, headers, is_first
             ),
         )
 
@@ -181,20 +165,20 @@
         identifier: str,
         status: int,
         headers: header_codec.Headers,
-        is_connection_new: bool,
+        is_first: bool,
     ) -> bool:
         """Return whether an answer belongs to a request.
 
         An answer without an identifier is accepted if it has no response
         stamp. One that reports that the request did not run is accepted only
-        on a new connection: on a reused one it may be a copy of the refusal
-        of an earlier request.
+        as the first answer on its connection: a later one may be a copy of
+        the refusal of an earlier request.
         """
         metadata = self.header_codec.read_answer(status, headers)
         if metadata.identifier:
             return metadata.identifier == identifier
         if metadata.is_not_run:
-            return is_connection_new
+            return is_first
         return not metadata.has_response_stamp
 
     def classify_answer(
--- a/sapphirepaddle/proxy/http_message.py
+++ b/sapphirepaddle/proxy/http_message.py
@@ -6,10 +6,12 @@
 
 from sapphirepaddle.proxy import header_codec
 
-MatchFunction = abc.Callable[[int, header_codec.Headers], bool]
+MatchFunction = abc.Callable[[int, header_codec.Headers, bool], bool]
 
 
-def match_any(_status: int, _headers: header_codec.Headers) -> bool:
+def match_any(
+    _status: int, _headers: header_codec.Headers, _is_first: bool
+) -> bool:
     """Accept every answer as the answer to the request."""
     return True
 
@@ -23,8 +25,9 @@
         target: Path and query.
         headers: Headers, including those that frame the body.
         body: The complete body.
-        matches: Returns whether the status and headers of an answer belong to
-            this request.
+        matches: Returns whether an answer belongs to this request, from its
+            status, its headers and whether it is the first one on its
+            connection.
     """
 
     method: bytes
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -118,7 +118,8 @@
         """Read answers until one matches the request."""
         for skipped_count in range(MAX_SKIPPED_HEADS):
             answer = await self.read_answer(outgoing.method)
-            if outgoing.matches(answer.status, answer.headers):
+            is_first = not self.exchange_count and not skipped_count
+            if outgoing.matches(answer.status, answer.headers, is_first):
                 return dataclasses.replace(answer, skipped_count=skipped_count)
             if not answer.is_reusable:
                 raise h11.RemoteProtocolError('answer to another request')
--- a/tests/edge/test_repeated_refusals.py
+++ b/tests/edge/test_repeated_refusals.py
@@ -67,6 +67,20 @@
         reply = await self.send_last_order()
         self.assertEqual(reply.status, 502)
 
+    async def test_copy_behind_an_answer_on_a_new_connection(self) -> None:
+        async def answer_others_first(
+            received: scripted_target.ReceivedRequest,
+        ) -> None:
+            received.writer.write(
+                received.head(200, 0, identifier='other') + WITHOUT_IDENTIFIER
+            )
+            await asyncio.sleep(0.05)
+            received.answer(body=b'done')
+
+        self.targets['o-1'].script = answer_others_first
+        reply = await self.order()
+        self.assertEqual((reply.status, reply.body), (200, b'done'))
+
     async def test_refusal_on_a_new_connection_is_trusted(self) -> None:
         async def refuse(received: scripted_target.ReceivedRequest) -> None:
             received.writer.write(WITHOUT_IDENTIFIER)
