Take no status alone for the statement that a request did not run

Callers got 503 for an order, or it was sent to a second target, if its target answered 421 by fault after it ran the order.

Cause: 421 counted as not run whoever answered it and without X-Not-Executed. The protocol gives the promise to that header alone; beyond it, an instance other than the expected one does not run the request, and names itself in X-Instance-Id.

Change: a refusal is the header, or a 421 that names another instance. Any other 421 may have run: 502, no second target.

tests.platform.test_decoding expected that a bare 421 counts as not run, which the protocol does not say; in its place two tests: the bare status states nothing, and with the name of another instance it does.

--- a/sapphirepaddle/platform/header_codec.py
+++ b/sapphirepaddle/platform/header_codec.py
@@ -70,16 +70,14 @@
     ) -> header_codec.AnswerMetadata:
         """Return the metadata in the headers of a target's answer.
 
-        A misdirected request, status 421, was not run. The time in
-        Retry-After counts only beside the status with which targets turn
-        requests away.
+        The time in Retry-After counts only beside the status with which
+        targets turn requests away.
         """
         header_values = group_by_name(headers)
         pause_text = last_value(header_values, names.RETRY_AFTER)
         has_pause = bool(pause_text) and status == names.TURNED_AWAY_STATUS
         pause_seconds = parse_pause_seconds(pause_text) if has_pause else None
         leaving_text = last_value(header_values, names.LEAVING).strip()
-        is_misdirected = status == names.MISDIRECTED_STATUS
         return header_codec.AnswerMetadata(
             identifier=last_value(header_values, names.REQUEST_ID).decode(
                 'latin-1'
@@ -87,8 +85,11 @@
             has_response_stamp=bool(
                 last_value(header_values, names.RESPONSE_STAMP)
             ),
-            is_not_run=names.NOT_EXECUTED in header_values or is_misdirected,
-            is_misdirected=is_misdirected,
+            is_not_run=names.NOT_EXECUTED in header_values,
+            is_misdirected=status == names.MISDIRECTED_STATUS,
+            responder=last_value(header_values, names.RESPONDER).decode(
+                'latin-1'
+            ),
             is_encoded=last_value(header_values, names.CONTENT_ENCODING)
             not in IDENTITY_ENCODINGS,
             idle_seconds=parse_keep_alive_timeout(
--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -13,6 +13,7 @@
     header_codec,
     http_message,
     request_context,
+    run_statement,
     target_connection,
     target_notices,
 )
@@ -177,7 +178,7 @@
         metadata = self.header_codec.read_answer(status, headers)
         if metadata.identifier:
             return metadata.identifier == identifier
-        if metadata.is_not_run:
+        if metadata.is_not_run or metadata.is_misdirected:
             return is_first
         return not metadata.has_response_stamp
 
@@ -194,28 +195,25 @@
         self.notices.apply(context, target, metadata)
         if metadata.idle_seconds is not None:
             target.keep_alive_seconds = metadata.idle_seconds
-        if metadata.is_not_run:
+        refusal = run_statement.read_refusal(metadata, target.registration.name)
+        if refusal is not None:
             connection.refused_identifiers.add(context.identifier)
         if answer.is_reusable:
             self.connection_pool.return_idle(address, connection)
         else:
             connection.close()
-        origin = attempt_result.AnswerOrigin(
-            exchange_count=connection.exchange_count - 1,
-            skipped_count=answer.skipped_count,
-            is_identified=bool(metadata.identifier),
-        )
-        if metadata.is_misdirected:
+        if refusal is run_statement.Refusal.MISDIRECTED:
             target.record_misdirected(clock.monotonic())
-            return AttemptResult(
-                AttemptResultKind.NOT_RUN, 'misdirected', origin=origin
-            )
-        if metadata.is_not_run:
+        if refusal is not None:
             return AttemptResult(
                 AttemptResultKind.NOT_RUN,
-                f'refused {answer.status}',
+                f'{refusal.value} {answer.status}',
                 is_pause_stated=bool(metadata.pause_seconds),
-                origin=origin,
+                origin=attempt_result.AnswerOrigin(
+                    exchange_count=connection.exchange_count - 1,
+                    skipped_count=answer.skipped_count,
+                    is_identified=bool(metadata.identifier),
+                ),
             )
         if answer.status in SUCCESS_STATUSES:
             return classify_success(context, metadata, answer)
--- a/sapphirepaddle/proxy/header_codec.py
+++ b/sapphirepaddle/proxy/header_codec.py
@@ -44,8 +44,11 @@
     Attributes:
         identifier: Identifier of the answered request.
         has_response_stamp: Whether a header proves that a target answered.
-        is_not_run: Whether the request did not run and will not.
-        is_misdirected: Whether another target has the address now.
+        is_not_run: Whether it states that the request did not run and will
+            not.
+        is_misdirected: Whether it has the status with which a target answers
+            requests that expect another one.
+        responder: Name of the target that answered; empty if not stated.
         is_encoded: Whether the body has a content encoding, which no request
             asks for.
         idle_seconds: Keep-alive time of the target's idle connections; None if
@@ -62,6 +65,7 @@
     is_misdirected: bool
     is_encoded: bool
     idle_seconds: float | None
+    responder: str = ''
     is_leaving: bool = False
     pause_seconds: float | None = None
     malformed_headers: tuple[str, ...] = ()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
     registrations,
 )
 from sapphirepaddle.proxy import header_codec as codec_interface
+from sapphirepaddle.proxy import run_statement
 from tests.support import platform_objects
 
 
@@ -210,7 +211,16 @@
         )
         self.assertIsNone(metadata.idle_seconds)
 
-    def test_misdirected_request_was_not_run(self) -> None:
+    def test_status_of_misdirected_requests_alone_states_nothing(self) -> None:
         metadata = self.header_codec.read_answer(421, [])
         self.assertTrue(metadata.is_misdirected)
-        self.assertTrue(metadata.is_not_run)
+        self.assertFalse(metadata.is_not_run)
+        self.assertEqual(metadata.responder, '')
+
+    def test_misdirected_request_was_not_run(self) -> None:
+        metadata = self.header_codec.read_answer(
+            421, [(b'X-Instance-Id', b'other')]
+        )
+        refusal = run_statement.read_refusal(metadata, 'expected')
+        self.assertIs(refusal, run_statement.Refusal.MISDIRECTED)
+        self.assertIsNone(run_statement.read_refusal(metadata, 'other'))
