An answer that contradicts its statement of not having run may have run

An answer with X-Not-Executed counted as not run also beside a success status or the stamp that a target gives to what it ran: callers got 503, or the order was sent to a second target.

Change: such an answer promises nothing: 502, no second target.

Test: two tests of tests.edge.test_unproved_refusals ended in 503 before.

--- a/sapphirepaddle/proxy/attempt.py
+++ b/sapphirepaddle/proxy/attempt.py
@@ -1,7 +1,6 @@
 """Sends a request to one target and classifies the answer."""
 
 import asyncio
-import http
 import typing
 
 from sapphirepaddle import clock, errors
@@ -34,9 +33,6 @@
 """Maximum idle time of a connection reused for a non-idempotent request: the
 target may be closing it, and such a request cannot be sent again."""
 MIN_SERVER_ERROR_STATUS: typing.Final = 500
-SUCCESS_STATUSES: typing.Final = range(
-    http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
-)
 NOT_RUN_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 """Statuses that promise that a request has not run; without the header that
 proves it, an answer with such a status is not trusted."""
@@ -195,7 +191,9 @@
         self.notices.apply(context, target, metadata)
         if metadata.idle_seconds is not None:
             target.keep_alive_seconds = metadata.idle_seconds
-        refusal = run_statement.read_refusal(metadata, target.registration.name)
+        refusal = run_statement.read_refusal(
+            metadata, answer.status, target.registration.name
+        )
         if refusal is not None:
             connection.refused_identifiers.add(context.identifier)
         if answer.is_reusable:
@@ -215,7 +213,11 @@
                     is_identified=bool(metadata.identifier),
                 ),
             )
-        if answer.status in SUCCESS_STATUSES:
+        if metadata.is_not_run:
+            return AttemptResult(
+                AttemptResultKind.LOST, f'contradictory {answer.status}'
+            )
+        if answer.status in run_statement.SUCCESS_STATUSES:
             return classify_success(context, metadata, answer)
         if not metadata.has_response_stamp or answer.status in NOT_RUN_STATUSES:
             return AttemptResult(
--- a/sapphirepaddle/proxy/run_statement.py
+++ b/sapphirepaddle/proxy/run_statement.py
@@ -5,9 +5,15 @@
 """
 
 import enum
+import http
+import typing
 
 from sapphirepaddle.proxy import header_codec
 
+SUCCESS_STATUSES: typing.Final = range(
+    http.HTTPStatus.OK, http.HTTPStatus.MULTIPLE_CHOICES
+)
+
 
 class Refusal(enum.Enum):
     """How an answer states that the request did not run and will not.
@@ -22,17 +28,21 @@
 
 
 def read_refusal(
-    metadata: header_codec.AnswerMetadata, target_name: str
+    metadata: header_codec.AnswerMetadata, status: int, target_name: str
 ) -> Refusal | None:
     """Return how an answer states that the request did not run.
 
     Args:
         metadata: Metadata of the answer, which belongs to the request.
+        status: Its status.
         target_name: Name of the target that the request expects.
 
     Returns:
-        The statement; None if there is none.
+        The statement; None if there is none, or if the answer contradicts it
+        by a success or the stamp of a target that ran the request.
     """
+    if metadata.has_response_stamp or status in SUCCESS_STATUSES:
+        return None
     if metadata.is_misdirected and metadata.responder not in {'', target_name}:
         return Refusal.MISDIRECTED
     return Refusal.REFUSED if metadata.is_not_run else None
--- a/tests/edge/test_unproved_refusals.py
+++ b/tests/edge/test_unproved_refusals.py
@@ -40,6 +40,12 @@
         reply = await self.order()
         self.assertEqual(reply.status, 502)
 
+    async def test_refusal_with_the_stamp_of_a_run(self) -> None:
+        await self.check(503, 'X-Not-Executed: 1', stamp='stamp')
+
+    async def test_success_that_says_not_run(self) -> None:
+        await self.check(200, 'X-Not-Executed: 1')
+
     def answer_as(self, name: str) -> scripted_target.Script:
         """Return a script that answers 421 under a name."""
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -221,6 +221,6 @@
         metadata = self.header_codec.read_answer(
             421, [(b'X-Instance-Id', b'other')]
         )
-        refusal = run_statement.read_refusal(metadata, 'expected')
+        refusal = run_statement.read_refusal(metadata, 421, 'expected')
         self.assertIs(refusal, run_statement.Refusal.MISDIRECTED)
-        self.assertIsNone(run_statement.read_refusal(metadata, 'other'))
+        self.assertIsNone(run_statement.read_refusal(metadata, 421, 'other'))
