Test that paddle-entry believes no copy of a refusal

Each of its attempts has an identifier of its own, and a refusal ends its connection, so a copy finds no later request there. No fault; the test holds the second point, with and without a body. A trial that also turned down refusals without identifier on reused connections was dropped: it would have cost callers answers and guarded against nothing that can arrive there.

--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -257,6 +257,30 @@
             await self.count_answers(30, LONG_TIMEOUT_SECONDS), 120
         )
 
+    async def test_refusals_written_twice(self) -> None:
+        """A refusal ends its connection, so that no copy follows on it."""
+        head = b'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: '
+        for refusal in (head + b'0\r\n\r\n', head + b'4\r\n\r\nnull'):
+            await self.check_refusal_written_twice(refusal)
+
+    async def check_refusal_written_twice(self, refusal: bytes) -> None:
+        """Check the request after a refusal without identifier."""
+        connections = set()
+
+        async def script(identifier: str, writer: asyncio.StreamWriter) -> None:
+            connections.add(writer)
+            if len(connections) > 1:
+                writer.write(raw_target.complete_answer(identifier))
+                return
+            writer.write(refusal)
+            await asyncio.sleep(0.02)
+            writer.write(refusal)
+
+        await self.start_raw_target(script)
+        self.assertIs(await self.send_expecting_fault(), Fault.REFUSED)
+        await self.send()
+        self.assertEqual(len(connections), 2)
+
     async def test_cancelled_callers(self) -> None:
         """The answer to a cancelled request is never given to another."""
 
