Count an answer against the memory budget until its last byte has left

Callers that did not read their answers let a daemon grow beyond its memory: an answer counted only until its last byte was read from the target, and was then held up to three times (body, rendered message, buffer of the connection).

Change: the memory of an answer, head and body, is a reservation that lives as long as the answer does and ends when the kernel has its last byte or the connection is closed.

--- a/sapphirepaddle/gateway/answer.py
+++ b/sapphirepaddle/gateway/answer.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 from sapphirepaddle.gateway import head
+from sapphirepaddle.proxy import body_memory
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,9 +16,11 @@
         headers: Headers for the caller.
         body: The complete body; empty if the body is streamed.
         stream: Chunks of the body if it is too large to be buffered.
+        memory: Memory that is reserved for it; None if it is not counted.
     """
 
     status: int
     headers: list[head.Header]
     body: bytes = b''
     stream: abc.AsyncGenerator[bytes, None] | None = None
+    memory: body_memory.Reservation | None = None
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -145,7 +145,7 @@
             return {}
         if answer.status // 100 != HTTP_OK // 100:
             raise errors.SourceError(f'{method} {path}: status {answer.status}')
-        return await decode(answer.body)
+        return await decode(bytes(answer.body))
 
 
 class ConflictError(errors.SourceError):
--- a/sapphirepaddle/proxy/caller_connection.py
+++ b/sapphirepaddle/proxy/caller_connection.py
@@ -7,6 +7,7 @@
 
 from sapphirepaddle.gateway import answer
 from sapphirepaddle.proxy import (
+    answer_writer,
     exchange,
     handler,
     idle_timer,
@@ -19,9 +20,6 @@
 """Maximum number of concurrent requests of one connection."""
 LINGER_SECONDS: typing.Final = 1
 """Wait for the caller's close, so that it can read the last answer."""
-WRITE_SECONDS: typing.Final = 10
-"""Timeout for sending an answer to a caller that does not read it."""
-
 
 Pending = tuple[exchange.Exchange, asyncio.Task[answer.Answer]]
 
@@ -41,6 +39,7 @@
         pending_changed: Set when an exchange begins or ends.
         idle_timer: Closes the connection when no request arrives.
         request_reader: Reads the requests.
+        answer_writer: Writes the answers.
         is_closing: Whether no further request is read.
         logger: Log of refused requests and lost connections.
     """
@@ -64,6 +63,7 @@
             request_handler,
             self.idle_timer,
         )
+        self.answer_writer = answer_writer.AnswerWriter(writer)
         self.is_closing = False
         self.logger = logs.get_logger('caller')
 
@@ -156,17 +156,25 @@
             while not self.pending:
                 self.pending_changed.clear()
                 await self.pending_changed.wait()
-            current_exchange, answer_task = self.pending[0]
-            await self.send(current_exchange, await answer_task)
-            self.pending.popleft()
-            self.handler.memory.release(current_exchange.body_bytes)
-            self.pending_changed.set()
-            if current_exchange.must_close:
+            if not await self.send_oldest():
                 self.is_closing = True
                 return
             if not self.pending:
                 self.idle_timer.start(self.handler.limits.idle_seconds)
 
+    async def send_oldest(self) -> bool:
+        """Send the answer to the oldest request and forget both.
+
+        Returns:
+            Whether the connection can be used further.
+        """
+        current_exchange, answer_task = self.pending[0]
+        await self.send(current_exchange, await answer_task)
+        self.pending.popleft()
+        self.handler.memory.release(current_exchange.body_bytes)
+        self.pending_changed.set()
+        return not current_exchange.must_close
+
     async def send(
         self,
         current_exchange: exchange.Exchange,
@@ -181,9 +189,8 @@
         if is_alone and self.handler.is_leaving:
             self.is_closing = True
         is_last = is_alone and self.is_closing
-        self.writer.write(current_exchange.render(caller_answer, is_last))
-        async with asyncio.timeout(WRITE_SECONDS):
-            await self.writer.drain()
+        head, body = current_exchange.render(caller_answer, is_last)
+        await self.answer_writer.write(head, body, caller_answer.memory)
 
     async def linger(self, send_task: asyncio.Task[None]) -> None:
         """Let the caller read the last answer, if all answers were sent."""
--- a/sapphirepaddle/proxy/exchange.py
+++ b/sapphirepaddle/proxy/exchange.py
@@ -50,8 +50,12 @@
             h11.ERROR,
         }
 
-    def render(self, caller_answer: answer.Answer, is_last: bool) -> bytes:
-        """Return the serialized answer.
+    def render(
+        self, caller_answer: answer.Answer, is_last: bool
+    ) -> tuple[bytes, bytes]:
+        """Return the serialized head of an answer and its body.
+
+        The body, which the head states the length of, is sent as it is.
 
         Args:
             caller_answer: The answer.
@@ -69,14 +73,16 @@
         if is_last:
             headers.append(CLOSE_HEADER)
         head = h11.Response(status_code=caller_answer.status, headers=headers)
-        rendered = [self.http.send(head)]
+        rendered = self.http.send(head) or b''
+        body = b''
         if (
             self.method != b'HEAD'
             and caller_answer.status not in BODILESS_STATUSES
         ):
-            rendered.append(self.http.send(h11.Data(data=caller_answer.body)))
-        rendered.append(self.http.send(h11.EndOfMessage()))
-        return b''.join(filter(None, rendered))
+            body = caller_answer.body
+            self.http.send_with_data_passthrough(h11.Data(data=body))
+        self.http.send(h11.EndOfMessage())
+        return rendered, body
 
     def content_length(self, caller_answer: answer.Answer) -> bytes:
         """Return the value of the answer's Content-Length header.
--- a/sapphirepaddle/proxy/forwarder.py
+++ b/sapphirepaddle/proxy/forwarder.py
@@ -279,4 +279,9 @@
         for header in target_answer.headers
         if header[0].lower() not in excluded
     ]
-    return answer.Answer(target_answer.status, forwarded, target_answer.body)
+    return answer.Answer(
+        target_answer.status,
+        forwarded,
+        typing.cast(bytes, target_answer.body),
+        memory=target_answer.memory,
+    )
--- a/sapphirepaddle/proxy/http_message.py
+++ b/sapphirepaddle/proxy/http_message.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from sapphirepaddle.proxy import header_codec
+from sapphirepaddle.proxy import body_memory, header_codec
 
 MatchFunction = abc.Callable[[int, header_codec.Headers, bool], bool]
 
@@ -46,14 +46,16 @@
         headers: Headers in order.
         body: The complete body.
         is_reusable: Whether the connection accepts another request.
+        memory: Memory that is reserved for it; None if it is not counted.
         skipped_count: Number of answers to other requests that arrived on the
             connection before it, since the request was sent.
     """
 
     status: int
     headers: header_codec.Headers
-    body: bytes
+    body: bytes | bytearray
     is_reusable: bool
+    memory: body_memory.Reservation | None = None
     skipped_count: int = 0
 
 
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -148,35 +148,29 @@
             raise h11.RemoteProtocolError('no answer')
         if method != b'HEAD':
             check_stated_length(head)
-        return self.build_answer(head, await self.read_body())
+        memory = body_memory.Reservation(self.answer_memory)
+        reserve(memory, head_size(head))
+        body = await self.read_body(memory)
+        return self.build_answer(head, body, memory)
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, memory: body_memory.Reservation) -> bytearray:
         """Read the body of an answer to its end."""
         body = bytearray()
-        try:
-            for _ in range(MAX_BODY_PIECES):
-                event = await self.next_event()
-                if not isinstance(event, h11.Data):
-                    return bytes(body)
-                self.reserve_memory(len(body), len(event.data))
-                body += event.data
-        finally:
-            self.answer_memory.release(len(body))
+        for _ in range(MAX_BODY_PIECES):
+            event = await self.next_event()
+            if not isinstance(event, h11.Data):
+                return body
+            if len(body) + len(event.data) > http_message.MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError('body too large')
+            reserve(memory, len(event.data))
+            body += event.data
         raise h11.RemoteProtocolError('body in too many pieces')
 
-    def reserve_memory(self, held_size: int, size: int) -> None:
-        """Reserve memory for a part of a body.
-
-        Raises:
-            RemoteProtocolError: If the body is too large.
-        """
-        if held_size + size > http_message.MAX_BODY_BYTES:
-            raise h11.RemoteProtocolError('body too large')
-        if not self.answer_memory.try_extend(held_size, size):
-            raise h11.RemoteProtocolError('no memory for the body')
-
     def build_answer(
-        self, head: h11.Response, body: bytes
+        self,
+        head: h11.Response,
+        body: bytearray,
+        memory: body_memory.Reservation,
     ) -> http_message.ReceivedAnswer:
         """Return a complete answer."""
         states = (self.http.our_state, self.http.their_state)
@@ -185,6 +179,7 @@
             headers=list(head.headers.raw_items()),
             body=body,
             is_reusable=states == (h11.DONE, h11.DONE),
+            memory=memory,
         )
 
     async def next_event(self) -> typing.Any:
@@ -249,6 +244,24 @@
         self.writer.transport.abort()
 
 
+def head_size(head: h11.Response) -> int:
+    """Return the number of bytes in the headers of an answer."""
+    return sum(
+        len(name) + len(header_value)
+        for name, header_value in head.headers.raw_items()
+    )
+
+
+def reserve(memory: body_memory.Reservation, size: int) -> None:
+    """Reserve memory for a part of an answer.
+
+    Raises:
+        RemoteProtocolError: If there is none.
+    """
+    if not memory.try_extend(size):
+        raise h11.RemoteProtocolError('no memory for the answer')
+
+
 def check_stated_length(head: h11.Response) -> None:
     """Check the stated length of a body.
 
