Count heads and bound what waits on the connections of callers

Per connection there were up to 0.4 MB of unread bytes, 16 requests whose heads were not counted, and behind each of them a copy of all that followed it in its parser.

Change: the head of a request counts against the budget for requests, as its body does; the bytes behind a request are taken from its parser; connections of callers and targets read 16 KB at a time and buffer at most twice that much. A request without memory is refused before it is sent, as before.

Test: tests.edge.test_flooding_callers, all three failed on. The exact number of reserved bytes in test_body_memory_is_shared_by_connections has the heads in it now.

--- a/sapphirepaddle/edge/listener.py
+++ b/sapphirepaddle/edge/listener.py
@@ -4,7 +4,7 @@
 import typing
 
 from sapphirepaddle import codes, errors
-from sapphirepaddle.proxy import caller_connection, handler
+from sapphirepaddle.proxy import caller_connection, handler, stream_limits
 from sapphirepaddle.settings import edge
 from sapphirepaddle.telemetry import logs
 
@@ -48,6 +48,7 @@
                 self.serve,
                 self.address.host,
                 self.address.port,
+                limit=stream_limits.READ_BYTES,
                 backlog=BACKLOG,
                 reuse_address=True,
             )
@@ -63,6 +64,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it is closed."""
+        stream_limits.limit_reads(writer)
         connection = caller_connection.CallerConnection(
             reader,
             writer,
--- a/sapphirepaddle/proxy/caller_connection.py
+++ b/sapphirepaddle/proxy/caller_connection.py
@@ -105,7 +105,7 @@
             )
             if not await self.read_request(current_exchange):
                 return
-            leftover = current_exchange.leftover
+            leftover = current_exchange.take_leftover()
             if current_exchange.is_ended:
                 return
             while len(self.pending) >= MAX_PIPELINED_REQUESTS:
@@ -128,10 +128,10 @@
             self.is_closing = True
             return False
         except BaseException:
-            self.handler.memory.release(current_exchange.body_bytes)
+            self.handler.memory.release(current_exchange.held_bytes)
             raise
         if request is None or self.is_closing:
-            self.handler.memory.release(current_exchange.body_bytes)
+            self.handler.memory.release(current_exchange.held_bytes)
             return False
         current_exchange.method = request.method
         self.start(current_exchange, self.handler.handle(request))
@@ -171,7 +171,7 @@
         current_exchange, answer_task = self.pending[0]
         await self.send(current_exchange, await answer_task)
         self.pending.popleft()
-        self.handler.memory.release(current_exchange.body_bytes)
+        self.handler.memory.release(current_exchange.held_bytes)
         self.pending_changed.set()
         return not current_exchange.must_close
 
@@ -205,7 +205,7 @@
         """Cancel the tasks, release their body memory and close."""
         answer_tasks = [answer_task for _, answer_task in self.pending]
         for current_exchange, _ in self.pending:
-            self.handler.memory.release(current_exchange.body_bytes)
+            self.handler.memory.release(current_exchange.held_bytes)
         self.pending.clear()
         for task in (*tasks, *answer_tasks):
             task.cancel()
--- a/sapphirepaddle/proxy/exchange.py
+++ b/sapphirepaddle/proxy/exchange.py
@@ -22,7 +22,8 @@
     Attributes:
         http: Parser and serializer of this exchange.
         method: HTTP method of the request.
-        body_bytes: Number of buffered bytes of the request body.
+        held_bytes: Number of bytes of the request, head and body, that count
+            against the memory budget.
     """
 
     def __init__(self, leftover: bytes, head_bytes: int) -> None:
@@ -32,7 +33,7 @@
             max_incomplete_event_size=head_bytes,
         )
         self.method = b''
-        self.body_bytes = 0
+        self.held_bytes = 0
         if leftover:
             self.http.receive_data(leftover)
 
@@ -41,6 +42,17 @@
         """Return the bytes that followed this request."""
         return bytes(self.http.trailing_data[0])
 
+    def take_leftover(self) -> bytes:
+        """Return the bytes that followed this request and forget them.
+
+        The parser, which is kept until the answer is sent, would hold them for
+        each of the pipelined requests.
+        """
+        leftover = self.leftover
+        parser_buffer = self.http._receive_buffer  # noqa: SLF001, WPS437
+        parser_buffer.maybe_extract_at_most(len(leftover))
+        return leftover
+
     @property
     def is_ended(self) -> bool:
         """Return whether the caller sends no further request."""
--- a/sapphirepaddle/proxy/request_reader.py
+++ b/sapphirepaddle/proxy/request_reader.py
@@ -6,9 +6,14 @@
 import h11
 
 from sapphirepaddle import clock
-from sapphirepaddle.proxy import exchange, handler, idle_timer, request
+from sapphirepaddle.proxy import (
+    exchange,
+    handler,
+    idle_timer,
+    request,
+    stream_limits,
+)
 
-READ_BYTES: typing.Final = 65536
 BAD_REQUEST: typing.Final = 400
 REQUEST_TIMEOUT: typing.Final = 408
 TOO_LARGE: typing.Final = 413
@@ -84,7 +89,7 @@
         if not isinstance(head, h11.Request):
             return None
         received_at = clock.monotonic()
-        self.check_size(head)
+        self.acquire_memory(current_exchange, self.check_size(head))
         body = await self.read_body(current_exchange)
         if body is None:
             return None
@@ -99,8 +104,8 @@
             received_at=received_at,
         )
 
-    def check_size(self, head: h11.Request) -> None:
-        """Check the size of a complete head.
+    def check_size(self, head: h11.Request) -> int:
+        """Return the size of a complete head in bytes.
 
         The parser limits only a head that is still incomplete, not one that
         arrives in one piece.
@@ -115,6 +120,7 @@
         size = len(head.method) + len(head.target) + sum(line_sizes)
         if size > self.handler.limits.head_bytes:
             raise RefusedHeadError(HEAD_TOO_LARGE, 'head')
+        return size
 
     async def read_head(
         self, current_exchange: exchange.Exchange
@@ -150,23 +156,22 @@
                 return body
             if not isinstance(event, h11.Data):
                 return None
-            self.acquire_body_memory(current_exchange, len(event.data))
+            if len(body) + len(event.data) > self.handler.limits.body_bytes:
+                raise RefusedHeadError(TOO_LARGE, 'body')
+            self.acquire_memory(current_exchange, len(event.data))
             body += event.data
 
-    def acquire_body_memory(
+    def acquire_memory(
         self, current_exchange: exchange.Exchange, size: int
     ) -> None:
-        """Reserve memory for a part of a body.
+        """Reserve memory for a part of a request.
 
         Raises:
-            RefusedHeadError: If the body is too large or the memory is used
-                up.
+            RefusedHeadError: If the memory is used up.
         """
-        if current_exchange.body_bytes + size > self.handler.limits.body_bytes:
-            raise RefusedHeadError(TOO_LARGE, 'body')
         if not self.handler.memory.try_acquire(size):
-            raise RefusedHeadError(UNAVAILABLE, 'no memory for the body')
-        current_exchange.body_bytes += size
+            raise RefusedHeadError(UNAVAILABLE, 'no memory for the request')
+        current_exchange.held_bytes += size
 
     async def next_body_event(
         self, current_exchange: exchange.Exchange
@@ -210,4 +215,6 @@
 
     async def feed(self, current_exchange: exchange.Exchange) -> None:
         """Read from the caller and pass the data to the parser."""
-        current_exchange.http.receive_data(await self.reader.read(READ_BYTES))
+        current_exchange.http.receive_data(
+            await self.reader.read(stream_limits.READ_BYTES)
+        )
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -9,10 +9,8 @@
 import h11
 
 from sapphirepaddle import clock, codes, errors
-from sapphirepaddle.proxy import body_memory, http_message
+from sapphirepaddle.proxy import body_memory, http_message, stream_limits
 
-READ_BYTES: typing.Final = 16384
-"""Maximum number of bytes parsed before other tasks get a turn."""
 WRITE_BYTES: typing.Final = 65536
 """Maximum number of bytes of a body that are passed on at a time."""
 MAX_SKIPPED_HEADS: typing.Final = 16
@@ -186,7 +184,9 @@
         """Return the next event of the parser."""
         event = self.http.next_event()
         while event is h11.NEED_DATA:
-            self.http.receive_data(await self.reader.read(READ_BYTES))
+            self.http.receive_data(
+                await self.reader.read(stream_limits.READ_BYTES)
+            )
             # A read does not yield to other tasks while data is buffered.
             await asyncio.sleep(0)
             event = self.http.next_event()
@@ -315,8 +315,11 @@
     """
     try:
         async with asyncio.timeout(timeout_seconds):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(
+                host, port, limit=stream_limits.READ_BYTES
+            )
     except OSError as error:
         detail = f'{type(error).__name__}: {error}'
         raise errors.TargetError(codes.TARGET_UNREACHABLE, detail) from error
+    stream_limits.limit_reads(writer)
     return TargetConnection(reader, writer, answer_memory)
