--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -16,11 +16,6 @@
 MAX_SKIPPED_HEADS: typing.Final = 16
 """Maximum number of interim answers and of late answers to other requests that
 are skipped before the answer."""
-MEMORY_WAIT_SECONDS: typing.Final = 0.05
-"""Wait before memory for a part of an answer is asked for again."""
-MAX_MEMORY_WAITS: typing.Final = 30
-"""Maximum number of such waits; together they are longer than the time after
-which a stalled caller makes room."""
 MAX_BODY_PIECES: typing.Final = 16384
 """Maximum number of chunks of a body: parsing takes time for each of them."""
 CONNECTION_ERRORS: typing.Final = (
@@ -152,14 +147,11 @@
         if method != b'HEAD':
             check_stated_length(head)
         memory = body_memory.Reservation(self.answer_memory)
-        wait_count = MAX_MEMORY_WAITS if has_stated_length(head) else 0
-        await reserve(memory, head_size(head), wait_count)
-        body = await self.read_body(memory, wait_count)
+        reserve(memory, head_size(head))
+        body = await self.read_body(memory)
         return self.build_answer(head, body, memory)
 
-    async def read_body(
-        self, memory: body_memory.Reservation, wait_count: int
-    ) -> bytearray:
+    async def read_body(self, memory: body_memory.Reservation) -> bytearray:
         """Read the body of an answer to its end."""
         body = bytearray()
         for _ in range(MAX_BODY_PIECES):
@@ -168,7 +160,7 @@
                 return body
             if len(body) + len(event.data) > http_message.MAX_BODY_BYTES:
                 raise h11.RemoteProtocolError('body too large')
-            await reserve(memory, len(event.data), wait_count)
+            reserve(memory, len(event.data))
             body += event.data
         raise h11.RemoteProtocolError('body in too many pieces')
 
@@ -260,35 +252,14 @@
     )
 
 
-async def reserve(
-    memory: body_memory.Reservation, size: int, wait_count: int
-) -> None:
-    """Reserve memory for a part of an answer, if necessary after waits.
-
-    The target is not read meanwhile.
-
-    Args:
-        memory: Memory of the answer.
-        size: Bytes to reserve.
-        wait_count: Maximum number of waits. They are bounded, as answers that
-            are read in part could wait for each other.
+def reserve(memory: body_memory.Reservation, size: int) -> None:
+    """Reserve memory for a part of an answer.
 
     Raises:
         RemoteProtocolError: If there is none.
     """
-    while not memory.try_extend(size):
-        if not wait_count:
-            raise h11.RemoteProtocolError('no memory for the answer')
-        wait_count -= 1
-        await asyncio.sleep(MEMORY_WAIT_SECONDS)
-
-
-def has_stated_length(head: h11.Response) -> bool:
-    """Return whether an answer states the length of its body.
-
-    One without may never end, and memory is not worth waiting for.
-    """
-    return b'content-length' in dict(head.headers)
+    if not memory.try_extend(size):
+        raise h11.RemoteProtocolError('no memory for the answer')
 
 
 def check_stated_length(head: h11.Response) -> None:
