--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -166,6 +166,7 @@
 
     def read_gauges(self) -> dict[str, float]:
         """Return the gauge values by label."""
+        answer_memory = self.attempt_runner.answer_memory
         return {
             'configuration_version': self.directory.version,
             'targets': len(self.directory.service_by_target),
@@ -178,6 +179,9 @@
             'target_connections_opened': (
                 self.attempt_runner.connection_pool.opened_count
             ),
+            'request_bytes_held': self.forwarder.memory.reserved_bytes,
+            'answer_bytes_held': answer_memory.reserved_bytes,
+            'answers_dropped_for_memory': answer_memory.reclaimed_count,
             'source_calls': self.platform.source.calls,
         }
 
