Soak: full targets that copy their refusals, callers that come back at once, stops

Now callers send half of the refused orders again at once, as they were, up to three times; beside the scheduled faults most targets reject requests at random and write a refusal once more before the next answer on its connection, in half of the cases while a daemon stops. A run in a sending that was refused is a finding (REFUSED), and the retry budget counts each sending of a caller as a request.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,9 @@
 ANSWER_TIMEOUT_SECONDS: typing.Final = 6.0
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
 MAX_PIPELINED: typing.Final = 3
+SEND_AGAIN_RATIO: typing.Final = 0.5
+"""Ratio of refused orders that are sent again at once, as they were."""
+MAX_SENT_AGAIN: typing.Final = 3
 
 DaemonAddress = tuple[str, str, int]
 
@@ -29,6 +32,8 @@
         mean_pause_seconds: Mean time between batches of requests; the times
             are exponentially distributed.
         numbers: Counter that numbers the requests.
+        send_again_rng: Draws which refused orders are sent again, so that the
+            other choices of a seed stay as they were.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         self.rng = rng
         self.mean_pause_seconds = 0.15
         self.numbers = itertools.count()
+        self.send_again_rng = random.Random(name)
 
     async def run(self, until: float) -> None:
         """Send requests until a time on the monotonic clock."""
@@ -98,16 +104,41 @@
         for request in requests:
             writer.write(render(request))
         for request in requests:
-            try:
-                async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
-                    is_reusable = await read_answer(reader, request)
-            except (OSError, asyncio.IncompleteReadError, TimeoutError):
-                is_reusable = False
-            request.ended_at = time.monotonic()
-            if not is_reusable:
+            if not await self.receive(request, reader):
+                return False
+        while self.may_send_again(request):
+            request.sent_again_at.append(time.monotonic())
+            request.status = 0
+            writer.write(render(request))
+            if not await self.receive(request, reader):
                 return False
         return True
 
+    async def receive(
+        self, request: observations.SentRequest, reader: asyncio.StreamReader
+    ) -> bool:
+        """Read the answer to a request.
+
+        Returns:
+            Whether the connection can be used further.
+        """
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+                is_reusable = await read_answer(reader, request)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            is_reusable = False
+        request.ended_at = time.monotonic()
+        return is_reusable
+
+    def may_send_again(self, request: observations.SentRequest) -> bool:
+        """Return whether the caller sends a refused order again at once."""
+        return (
+            request.kind == testbed_settings.ORDERS
+            and request.status == testbed_settings.UNAVAILABLE
+            and len(request.sent_again_at) < MAX_SENT_AGAIN
+            and self.send_again_rng.random() < SEND_AGAIN_RATIO
+        )
+
     def compose(self, daemon: str, kind: str) -> observations.SentRequest:
         """Create and record the next request."""
         number = next(self.numbers)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -61,6 +61,12 @@
             self.add_finding(
                 'TWICE', f'{request.identifier} ran {len(executed)} times'
             )
+        if request.sent_again_at and any(
+            arrival.at < request.sent_again_at[-1] for arrival in executed
+        ):
+            self.add_finding(
+                'REFUSED', f'{request.identifier} was refused, but ran'
+            )
         if request.status in observations.NOT_RUN_STATUSES and executed:
             self.add_finding(
                 'REFUSED',
@@ -152,16 +158,17 @@
         """
         window = self.bounds.repeat_window
         retries = collections.defaultdict(list)
-        for arrivals in arrivals_by_request.values():
+        for identifier, arrivals in arrivals_by_request.items():
             ordered_arrivals = sorted(arrivals, key=lambda arrival: arrival.at)
-            for retry in ordered_arrivals[1:]:
+            for retry in ordered_arrivals[self.count_sends(identifier) :]:
                 retries[retry.service].append(retry.at)
         for service, times in retries.items():
             times.sort()
             sent_times = sorted(
-                request.sent_at
+                sent_at
                 for request in self.observations.requests.values()
                 if testbed_settings.SERVICES.get(request.kind) == service
+                for sent_at in (request.sent_at, *request.sent_again_at)
             )
             for index, start in enumerate(times):
                 count = sum(at < start + window for at in times[index:])
@@ -188,6 +195,11 @@
                     )
                     return
 
+    def count_sends(self, identifier: str) -> int:
+        """Return how often a caller sent a request."""
+        request = self.observations.requests.get(identifier)
+        return 1 + len(request.sent_again_at) if request else 1
+
     def check_draining(self) -> None:
         """Check that a draining target gets no request after the bound."""
         for acked_at, kind, target in self.observations.acked_changes:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -25,6 +25,8 @@
         answer_identifier: Request identifier in the answer.
         is_stamped: Whether the answer carried a response stamp.
         is_whole: Whether the answer was complete.
+        sent_again_at: When the caller sent it again after a refusal, each
+            time.
     """
 
     identifier: str
@@ -40,6 +42,7 @@
     answer_identifier: str = ''
     is_stamped: bool = False
     is_whole: bool = False
+    sent_again_at: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -88,11 +88,13 @@
         partitions = fault_schedule.partition_datagrams(system, until)
         notices = fault_schedule.make_notices(system, until)
         stale_reads = fault_schedule.make_reads_stale(system, until)
+        composed_events = fault_schedule.compose_events(system, until)
         await asyncio.gather(
             fault_schedule.run(system),
             partitions,
             stale_reads,
             notices,
+            composed_events,
             *running_callers,
         )
     finally:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -12,6 +12,7 @@
 Fault = typing.Callable[[testbed.Testbed, float], typing.Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 MAX_GRAY_TARGETS = 4
+COPYING_RATIO = 0.8
 
 
 def fault(inject: Fault) -> Fault:
@@ -31,6 +32,17 @@
     return inject
 
 
+PAIRS: dict[str, Fault] = {}
+"""Kinds of faults that compose events that are harmless alone. They run beside
+the others, too."""
+
+
+def pair(inject: Fault) -> Fault:
+    """Register a composition of events under the name of its function."""
+    PAIRS[inject.__name__] = inject
+    return inject
+
+
 ScheduledFault = tuple[float, str, float]
 """Seconds from the start of the run, kind, and length in seconds."""
 
@@ -42,7 +54,10 @@
 """Separates the seeds of stale reads from those of the faults."""
 NOTICE_SEED_STRIDE = 3000
 """Separates the seeds of the notices of targets from those of the faults."""
+PAIR_SEED_STRIDE = 4000
+"""Separates the seeds of composed events from those of the faults."""
 MEAN_NOTICE_PAUSE_SECONDS = 2.5
+MEAN_PAIR_PAUSE_SECONDS = 2.0
 MEAN_STALE_PAUSE_SECONDS = 4.0
 MAX_STALE_SECONDS = 5.0
 
@@ -56,6 +71,8 @@
             scheduled faults.
         notice_rng: Draws the notices of targets, which run beside the scheduled
             faults.
+        pair_rng: Draws the composed events, which run beside the scheduled
+            faults.
         stale_rng: Draws the periods of stale reads of the store, which run
             beside the scheduled faults as well.
     """
@@ -72,6 +89,7 @@
         self.partition_rng = random.Random(seed * PARTITION_SEED_STRIDE + 1)
         self.notice_rng = random.Random(seed * NOTICE_SEED_STRIDE + 1)
         self.stale_rng = random.Random(seed * STALE_SEED_STRIDE + 1)
+        self.pair_rng = random.Random(seed * PAIR_SEED_STRIDE + 1)
 
     async def run(self, system: testbed.Testbed) -> None:
         """Inject the scheduled faults and wait until all have ended."""
@@ -79,7 +97,7 @@
         tasks = []
         for at, kind, seconds in self.scheduled_faults:
             await asyncio.sleep(max(0, start + at - time.monotonic()))
-            injection = (FAULTS | NOTICES)[kind](system, seconds)
+            injection = (FAULTS | NOTICES | PAIRS)[kind](system, seconds)
             tasks.append(asyncio.create_task(injection))
         await asyncio.gather(*tasks)
 
@@ -104,14 +122,17 @@
 
     async def make_notices(self, system: testbed.Testbed, until: float) -> None:
         """Let targets state that they leave or want a pause, repeatedly."""
-        rng = self.notice_rng
-        while True:
-            await asyncio.sleep(rng.expovariate(1 / MEAN_NOTICE_PAUSE_SECONDS))
-            seconds = rng.uniform(3, 5)
-            if time.monotonic() + seconds > until:
-                return
-            kind = rng.choice(sorted(NOTICES))
-            await NOTICES[kind](system, seconds)
+        await repeat(
+            system, until, NOTICES, MEAN_NOTICE_PAUSE_SECONDS, self.notice_rng
+        )
+
+    async def compose_events(
+        self, system: testbed.Testbed, until: float
+    ) -> None:
+        """Make events coincide that are harmless alone, repeatedly."""
+        await repeat(
+            system, until, PAIRS, MEAN_PAIR_PAUSE_SECONDS, self.pair_rng
+        )
 
     async def make_reads_stale(
         self, system: testbed.Testbed, until: float
@@ -135,6 +156,22 @@
         )
 
 
+async def repeat(
+    system: testbed.Testbed,
+    until: float,
+    kinds: dict[str, Fault],
+    mean_pause_seconds: float,
+    rng: random.Random,
+) -> None:
+    """Inject faults of some kinds one after the other until a time."""
+    while True:
+        await asyncio.sleep(rng.expovariate(1 / mean_pause_seconds))
+        seconds = rng.uniform(3, 5)
+        if time.monotonic() + seconds > until:
+            return
+        await kinds[rng.choice(sorted(kinds))](system, seconds)
+
+
 def select_daemon(system: testbed.Testbed) -> typing.Any:
     """Select a daemon for a fault.
 
@@ -308,6 +345,40 @@
     system.record_disturbance('leave', leaving.name, start)
 
 
+@pair
+async def full_targets_that_copy(
+    system: testbed.Testbed, seconds: float
+) -> None:
+    """Let most targets reject requests and write refusals once more."""
+    await copy_refusals(system, seconds)
+
+
+@pair
+async def full_targets_that_copy_in_a_stop(
+    system: testbed.Testbed, seconds: float
+) -> None:
+    """Stop a daemon while most targets reject requests and copy refusals."""
+    await asyncio.gather(copy_refusals(system, seconds), stop(system, seconds))
+
+
+async def copy_refusals(system: testbed.Testbed, seconds: float) -> None:
+    """Let most targets reject requests at random, and copy their refusals."""
+    start = time.monotonic()
+    chosen = [
+        chosen_target
+        for chosen_target in system.targets.values()
+        if system.rng.random() < COPYING_RATIO
+    ]
+    for chosen_target in chosen:
+        chosen_target.shed_ratio = system.rng.uniform(0.3, 0.9)
+        chosen_target.copies_refusals = True
+    await asyncio.sleep(seconds)
+    for chosen_target in chosen:
+        chosen_target.shed_ratio = 0
+        chosen_target.copies_refusals = False
+        system.record_disturbance('full', chosen_target.name, start)
+
+
 @fault
 async def configure(system: testbed.Testbed, _seconds: float) -> None:
     """Write up to three configurations in quick succession."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -43,6 +43,10 @@
         faults: Faults in effect.
         in_flight: Number of requests being executed.
         is_leaving: Whether it states in its answers that it leaves.
+        shed_ratio: Ratio of requests that it rejects as if it were full.
+        copies_refusals: Whether it writes a refusal once more, before the next
+            answer on the connection of the refusal.
+        refusals: Its last refusal on each connection.
         port: Port that it listens on.
         writers: Writers of the open connections.
         started_ms: Start of the incarnation in Unix milliseconds.
@@ -67,6 +71,9 @@
         self.faults = TargetFaults()
         self.in_flight = 0
         self.is_leaving = False
+        self.shed_ratio = 0.0
+        self.copies_refusals = False
+        self.refusals: dict[asyncio.StreamWriter, bytes] = {}
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.started_ms = int(time.time() * 1000)
@@ -116,6 +123,7 @@
             while True:
                 await self.serve_request(reader, writer)
         self.writers.discard(writer)
+        self.refusals.pop(writer, None)
         writer.close()
 
     async def serve_request(
@@ -136,7 +144,11 @@
         is_pausing = self.faults.pause_seconds > 0 and (
             self.rng.random() < TURNED_AWAY_RATIO
         )
-        is_overloaded = is_pausing or self.in_flight >= self.slots * 3
+        is_overloaded = (
+            is_pausing
+            or self.in_flight >= self.slots * 3
+            or self.rng.random() < self.shed_ratio
+        )
         is_failing = (
             not is_overloaded and self.rng.random() < self.faults.failure_ratio
         )
@@ -157,8 +169,12 @@
             self.write_pause(identifier, writer)
             return
         if is_overloaded:
-            writer.write(answer(503, b'', identifier, 'X-Not-Executed: 1'))
+            refusal = answer(503, b'', identifier, 'X-Not-Executed: 1')
+            writer.write(refusal)
+            self.refusals[writer] = refusal
             return
+        if self.copies_refusals:
+            writer.write(self.refusals.pop(writer, b''))
         await self.simulate_work()
         if is_failing:
             await self.write_failure(identifier, writer)
--- a/soak/testbed_settings.py
+++ b/soak/testbed_settings.py
@@ -6,6 +6,7 @@
 from sapphirepaddle.directory import account
 
 OK: typing.Final = 200
+UNAVAILABLE: typing.Final = 503
 READS: typing.Final = 'reads'
 ORDERS: typing.Final = 'orders'
 SERVICES: typing.Final = {READS: READS, ORDERS: ORDERS}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -72,6 +72,17 @@
         )
         self.assertLessEqual({'DRAIN', 'BUDGET'}, violated)
 
+    def test_kept_connections_of_refused_orders(self) -> None:
+        violated = violated_rules(
+            'from sapphirepaddle.proxy import connection_pool\n'
+            'acquire = connection_pool.ConnectionPool.acquire_idle\n'
+            'connection_pool.ConnectionPool.acquire_idle = (\n'
+            '    lambda self, address, seconds, identifier="":\n'
+            '    acquire(self, address, seconds))\n',
+            'full_targets_that_copy',
+        )
+        self.assertTrue({'REFUSED', 'TWICE'} & violated)
+
     def test_key_passed_on(self) -> None:
         violated = violated_rules(
             'from sapphirepaddle.platform import header_codec\n'
