Soak: kinds that replace each other run in turn in the test of unchecked answers

The test once found no MIXED although answers were not checked (KNOWN-RED). Cause, as its logs showed: two kinds of faults each draw 4 of 12 targets at the same time, and the second replaces the first on targets that both draw; in that run no misdirected answer reached a daemon. Each kind now has turns of 2 s of its own, on newly drawn targets.

The check is the same.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,17 +1,39 @@
 """A short soak has no findings, and the checker detects disabled mechanisms."""
 
 import asyncio
+import itertools
 import unittest
 
-from soak import runner
+from soak import runner, schedule
 
 SHORT_RUN = runner.Size(seconds=9, daemons=3, callers=24)
 SEED = 3
+TURN_SECONDS = 2.0
+TURN_COUNT = 4
 
 
 def violated_rules(prelude: str, *kinds: str) -> set[str]:
-    """Run with faults of some kinds and return the violated rules."""
-    scheduled_faults = [(0.5, kind, 8.0) for kind in kinds]
+    """Run with faults of some kinds at once; return the violated rules."""
+    return violated_by(prelude, [(0.5, kind, 8.0) for kind in kinds])
+
+
+def violated_in_turn(prelude: str, *kinds: str) -> set[str]:
+    """Run with faults of some kinds in turn; return the violated rules.
+
+    Kinds that fail targets in different ways replace each other on targets
+    that both draw if they run at once.
+    """
+    starts = [0.5 + TURN_SECONDS * number for number in range(TURN_COUNT)]
+    turns = zip(starts, itertools.cycle(kinds), strict=False)
+    return violated_by(
+        prelude, [(start, kind, TURN_SECONDS) for start, kind in turns]
+    )
+
+
+def violated_by(
+    prelude: str, scheduled_faults: list[schedule.ScheduledFault]
+) -> set[str]:
+    """Run with scheduled faults and return the violated rules."""
     run = runner.run(
         SEED, SHORT_RUN, prelude, scheduled_faults=scheduled_faults
     )
@@ -52,7 +74,7 @@
         self.assertIn('QUOTA', violated)
 
     def test_unchecked_answers(self) -> None:
-        violated = violated_rules(
+        violated = violated_in_turn(
             'from sapphirepaddle.proxy import attempt, attempt_result as end\n'
             'attempt.AttemptRunner.is_answer_to = lambda *args: True\n'
             'attempt.classify_success = lambda request, metadata, received: (\n'
