--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -413,6 +413,43 @@
         '    lambda self, address, seconds, identifier="":\n'
         '    acquire(self, address, seconds))',
     ),
+    Mutation(
+        'edge: a request counts as run unless its target states otherwise',
+        'proxy.test_sender.TestAttemptWithoutResult',
+        'from sapphirepaddle.proxy import request_context\n'
+        'request_context.RequestContext.may_have_run = False',
+    ),
+    Mutation(
+        'edge: no status alone states that a request did not run',
+        'edge.test_unproved_refusals',
+        'from sapphirepaddle.proxy import run_statement\n'
+        'run_statement.read_refusal = lambda metadata, status, name: (\n'
+        '    run_statement.Refusal.REFUSED\n'
+        '    if metadata.is_not_run or metadata.is_misdirected else None)',
+    ),
+    Mutation(
+        'edge: an answer counts until its caller has read it',
+        'edge.test_slow_callers.TestSlowCallers.'
+        'test_answer_counts_until_its_caller_has_read_it',
+        'import contextlib\n'
+        'from sapphirepaddle.proxy import body_memory\n'
+        'body_memory.Reservation.wait_for_caller = lambda self, on_reclaim: (\n'
+        '    self.held.release() or contextlib.nullcontext())',
+    ),
+    Mutation(
+        'edge: callers that do not read make room for others',
+        'edge.test_slow_callers.TestSlowCallers.'
+        'test_callers_that_do_not_read_make_room_for_others',
+        'from sapphirepaddle.proxy import body_memory\n'
+        'body_memory.BodyMemoryBudget.try_reclaim = lambda self: False',
+    ),
+    Mutation(
+        'edge: a waiting request holds no bytes that follow it',
+        'edge.test_flooding_callers.TestFloodingCallers.'
+        'test_waiting_requests_hold_no_further_bytes',
+        'from sapphirepaddle.proxy import exchange\n'
+        'exchange.Exchange.take_leftover = lambda self: self.leftover',
+    ),
     Mutation(
         'edge: statements of targets are obeyed',
         'edge.test_target_notices.TestPauses',
