--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -12,7 +12,7 @@
 Fault = typing.Callable[[testbed.Testbed, float], typing.Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 MAX_GRAY_TARGETS = 4
-COPYING_RATIO = 0.8
+SHED_RATIOS = (0.6, 0.8)
 
 
 def fault(inject: Fault) -> Fault:
@@ -349,7 +349,7 @@
 async def full_targets_that_copy(
     system: testbed.Testbed, seconds: float
 ) -> None:
-    """Let most targets reject requests and write refusals once more."""
+    """Let targets reject most requests and write refusals once more."""
     await copy_refusals(system, seconds)
 
 
@@ -357,26 +357,22 @@
 async def full_targets_that_copy_in_a_stop(
     system: testbed.Testbed, seconds: float
 ) -> None:
-    """Stop a daemon while most targets reject requests and copy refusals."""
+    """Stop a daemon while targets reject requests and copy refusals."""
     await asyncio.gather(copy_refusals(system, seconds), stop(system, seconds))
 
 
 async def copy_refusals(system: testbed.Testbed, seconds: float) -> None:
-    """Let most targets reject requests at random, and copy their refusals."""
+    """Let all targets reject requests at random, and copy their refusals."""
     start = time.monotonic()
-    chosen = [
-        chosen_target
-        for chosen_target in system.targets.values()
-        if system.rng.random() < COPYING_RATIO
-    ]
-    for chosen_target in chosen:
-        chosen_target.shed_ratio = system.rng.uniform(0.3, 0.9)
-        chosen_target.copies_refusals = True
+    full_targets = tuple(system.targets.values())
+    for full_target in full_targets:
+        full_target.shed_ratio = system.rng.uniform(*SHED_RATIOS)
+        full_target.copies_refusals = True
     await asyncio.sleep(seconds)
-    for chosen_target in chosen:
-        chosen_target.shed_ratio = 0
-        chosen_target.copies_refusals = False
-        system.record_disturbance('full', chosen_target.name, start)
+    for full_target in full_targets:
+        full_target.shed_ratio = 0
+        full_target.copies_refusals = False
+        system.record_disturbance('full', full_target.name, start)
 
 
 @fault
