paddle-entry: targets cannot state in the daemon's name that a request did not run

A caller of paddle-entry reads from X-Run and X-Result-Code whether its request ran. Headers with these names in a target's answer were passed on, so a faulty target could promise 'not run' beside the answer to a request that it ran.

Change: X-Run, X-Result-Code, X-Not-Run and X-Replayed of targets are dropped.

Test: tests.gateway.test_headers failed before.

--- a/sapphirepaddle/gateway/headers.py
+++ b/sapphirepaddle/gateway/headers.py
@@ -21,6 +21,16 @@
 )
 """Request headers that the gateway removes or sets itself."""
 
+STATEMENTS_OF_DAEMONS: typing.Final = frozenset(
+    (
+        header_names.NOT_RUN,
+        header_names.REPLAYED,
+        header_names.RESULT_CODE,
+        header_names.RUN_STATEMENT,
+    ),
+)
+"""Answer headers by which only a daemon tells its caller what happened."""
+
 LIST_SEPARATOR: typing.Final = ', '
 COOKIE: typing.Final = 'cookie'
 
@@ -97,7 +107,9 @@
         (name.lower().encode('latin-1'), value.encode('latin-1'))
         for name, value in raw_headers
     ]
-    excluded_names = hop_by_hop_names(dict(encoded_headers))
+    excluded_names = (
+        hop_by_hop_names(dict(encoded_headers)) | STATEMENTS_OF_DAEMONS
+    )
     added_headers = ((header_names.VIA, header_names.VIA_PSEUDONYM),)
     return [
         header
