--- a/tests/edge/test_slow_callers.py
+++ b/tests/edge/test_slow_callers.py
@@ -44,7 +44,7 @@
         caller_socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        caller_socket.setblocking(False)  # noqa: FBT003
+        caller_socket.setblocking(False)
         address = self.daemon.settings.callers
         await asyncio.get_running_loop().sock_connect(
             caller_socket, (address.host, address.port)
