--- a/tests/edge/test_requests_sent_again.py
+++ b/tests/edge/test_requests_sent_again.py
@@ -105,3 +105,23 @@
             b'X-Response-Stamp: stamp\r\nContent-Length: 0\r\n\r\n'
         )
         await self.check_orders()
+
+    async def test_copy_behind_an_order_that_ran(self) -> None:
+        self.target.is_refusing = True
+        self.assertEqual((await self.order('first')).status, 503)
+        self.target.is_refusing = False
+        self.assertEqual((await self.order('second')).status, 200)
+        self.assertEqual((await self.order('first')).status, 200)
+        self.assertEqual(self.target.runs, ['second', 'first'])
+
+    async def test_order_sent_again_to_another_daemon(self) -> None:
+        other_daemon = await self.start_daemon(2)
+        self.target.is_refusing = True
+        self.assertEqual((await self.order('first')).status, 503)
+        self.target.is_refusing = False
+        raw_request = edge_daemon_case.request(
+            '/orders/x', 'first', 'POST', b'body'
+        )
+        reply = await self.send_raw(other_daemon, raw_request)
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(self.target.runs, ['first'])
