--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,7 +14,7 @@
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 INSTANCES = 10
 LEAVING_INSTANCES = 2
-ORDERS_PER_SECOND = 60
+ORDERS_PER_SECOND = 120
 KILL_SECONDS = 1.3
 LEAVE_SECONDS = 3.9
 ZONE = 'zone-a'
@@ -26,7 +26,7 @@
     instances = []
     for number in range(INSTANCES):
         instance = standins.Instance(
-            f'i-{number:08x}', 'orders', ZONE, record, 0.1
+            f'i-{number:08x}', 'orders', ZONE, record, 0.3
         )
         await instance.start()
         instances.append(instance)
@@ -68,22 +68,25 @@
 
     sending = asyncio.create_task(send_orders())
 
-    # The machine that reads the list most is the one that is lost.
-    fresh_answers = [0, 0]
+    # The machine that reads the list most is the one that is lost, soon after
+    # an answer to the other one, whose calls wait for longer.
+    answers = ([], [])
     answered = asyncio.Event()
 
     def note_watch(machine, kind, is_stale):
-        if kind == 'servers' and not is_stale:
-            fresh_answers[machine] += 1
-            if fresh_answers[machine] == max(fresh_answers):
-                answered.set()
+        if kind != 'servers' or is_stale:
+            return
+        answers[machine].append(record.now())
+        own, other = answers[machine], answers[1 - machine]
+        if other and len(own) > len(other) and own[-1] - other[-1] < 1.5:
+            answered.set()
 
     store.on_watch = note_watch
-    await asyncio.sleep(5)
+    await asyncio.sleep(7)
     answered.clear()
-    await asyncio.wait_for(answered.wait(), 10)
+    await asyncio.wait_for(answered.wait(), 20)
     answered_at = record.now()
-    reader = daemons[fresh_answers.index(max(fresh_answers))]
+    reader = max(daemons, key=lambda one: len(answers[daemons.index(one)]))
     record.write(f'{reader.name} has read the list last')
     store.on_watch = None
     await asyncio.sleep(answered_at + KILL_SECONDS - record.now())
