The loss of a reader is no outage of the store

Cause: a time without answers counted as an outage, also when nobody asked in it. The time from the last answer to the lost reader to the end of its successor's first watch is longer than the longest gap of a run, so removals were deferred as if entries had lapsed.

Change: a time without answers is an outage only if a call failed in it, of this daemon or of a peer that had answers before. A daemon that becomes the first reader makes a call that is answered at once, and a reader reports a failed call at once; so the failures of a partitioned reader do not coincide with the wait of its successor. This does not depend on how long a takeover or a wait lasts.

Tests that stated no failed call before a time without answers now state one: an outage in which no call fails is what this change rules out. Nothing else in them changed; the report of a daemon without contact is compared with one more field.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -23,6 +23,8 @@
 SECOND_READER_WATCH_SECONDS: typing.Final = 6.0
 """Maximum wait of a watch call on a reader whose zone has a first reader, which
 detects outages for both."""
+PROBE_SECONDS: typing.Final = 0.05
+"""Maximum wait of a watch call that finds out whether the source answers."""
 SHORT_WATCH_SECONDS: typing.Final = 0.5
 """Maximum wait of a watch call while the source is unavailable or when a newer
 state is known to exist."""
@@ -78,6 +80,7 @@
         outage_prober: Another watcher of the same source that alone probes it
             during an outage; None to probe it here.
         on_answer: Called at each answer, before its content is applied.
+        on_failed: Called at each call that failed.
         on_lost: Called when the source stops answering.
         on_recovered: Called when the source answers again after an outage.
         is_reader: Returns whether this daemon is a reader.
@@ -88,6 +91,7 @@
             it all that they know.
         call_started_at: Monotonic time at which the last watch call was made.
         refresh_requested: Event that is set until a fresh call was answered.
+        must_probe: Whether the next watch call is a probe.
         watch_timeout: Timeout of the pending watch call; None if there is
             none.
         logger: Logger for outages and recoveries of the source.
@@ -113,6 +117,7 @@
         self.outage_prober: ObjectWatcher | None = None
         self.is_reader: abc.Callable[[], bool] = always_reader
         self.on_answer: abc.Callable[[], None] = ignore_contact_change
+        self.on_failed: abc.Callable[[], None] = ignore_contact_change
         self.on_lost: abc.Callable[[], None] = ignore_contact_change
         self.on_recovered: abc.Callable[[], None] = ignore_contact_change
         self.batch_seconds = BATCH_PAUSE_SECONDS
@@ -120,6 +125,7 @@
         self.is_led_by_readers = False
         self.call_started_at: float = 0
         self.refresh_requested = asyncio.Event()
+        self.must_probe = False
         self.watch_timeout: asyncio.Timeout | None = None
         self.logger = logs.get_logger('follower').bind(kind=kind)
 
@@ -151,7 +157,9 @@
             await self.read_all()
             return
         self.call_started_at = clock.monotonic()
-        read_result = await self.wait_for_changes()
+        wait_seconds = self.watch_seconds()
+        self.must_probe = False
+        read_result = await self.wait_for_changes(wait_seconds)
         if read_result is None:
             return
         self.handle_success()
@@ -160,7 +168,7 @@
             if read_result.entries:
                 self.on_changes(read_result.entries)
         has_ended_early = (
-            clock.monotonic() - self.call_started_at < self.watch_seconds() / 2
+            clock.monotonic() - self.call_started_at < wait_seconds / 2
         )
         if read_result.entries or has_ended_early:
             await self.pause_for_batch()
@@ -173,6 +181,8 @@
 
     def watch_seconds(self) -> float:
         """Return the maximum wait of the next watch call, in seconds."""
+        if self.must_probe:
+            return PROBE_SECONDS
         is_unavailable = self.unavailable_since is not None
         if is_unavailable or self.refresh_requested.is_set():
             return SHORT_WATCH_SECONDS
@@ -184,9 +194,14 @@
             return READER_BATCH_PAUSE_SECONDS
         return self.batch_seconds
 
-    async def wait_for_changes(self) -> source.ReadResult | None:
+    async def wait_for_changes(
+        self, wait_seconds: float
+    ) -> source.ReadResult | None:
         """Wait for changes.
 
+        Args:
+            wait_seconds: Maximum wait of the call.
+
         Returns:
             The changes, or None if refresh() interrupted the call.
         """
@@ -198,7 +213,7 @@
                 read_result = await self.source.watch(
                     self.kind,
                     self.revision,
-                    self.watch_seconds(),
+                    wait_seconds,
                     is_stale_allowed=not is_fresh,
                 )
         except TimeoutError:
@@ -217,6 +232,11 @@
         self.refresh_requested.set()
         self.replace_call()
 
+    def probe(self) -> None:
+        """Replace a pending watch call by one that waits for no change."""
+        self.must_probe = True
+        self.replace_call()
+
     def replace_call(self) -> None:
         """Replace a pending watch call, which may never be answered."""
         if self.watch_timeout is not None and not self.watch_timeout.expired():
@@ -276,6 +296,7 @@
         one and it is in an outage too, else for a random pause that grows
         with the number of consecutive failures.
         """
+        self.on_failed()
         if self.unavailable_since is None:
             self.unavailable_since = clock.monotonic()
             self.available.clear()
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -132,7 +132,8 @@
 
         The first reader detects that the source has stopped answering, also
         for calls that only it left unanswered. A second reader that becomes
-        the first one replaces its calls, which may wait for longer.
+        the first one replaces its calls, which may wait for longer, and finds
+        out at once whether the source answers.
         """
         is_first = self.count_exchange.fleet.reader_hashes()[-1] == (
             self.local_hash
@@ -148,6 +149,8 @@
             )
             if is_first:
                 watcher.replace_call()
+        if is_first:
+            self.watchers[0].probe()
 
     def replace_unanswered_calls(self) -> None:
         """Replace calls made before a reader regained contact.
@@ -184,6 +187,12 @@
         for watcher in self.watchers[1:]:
             watcher.replace_call()
 
+    def handle_loss(self) -> None:
+        """Pass on that calls fail, so that another daemon takes over."""
+        self.retry_mismatches()
+        if self.is_reader():
+            self.count_exchange.request_immediate_send()
+
     def retry_mismatches(self) -> None:
         """Report mismatches again that were not resolved."""
         self.handled_mismatches.clear()
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -112,6 +112,7 @@
             object_watcher.RELAYED_BATCH_PAUSE_SECONDS
         )
         self.target_watcher.on_answer = self.outage_evidence.record_answer
+        self.target_watcher.on_failed = self.outage_evidence.record_failure
         self.target_watcher.on_recovered = self.handle_recovery
         exchange.read_contact_ages = self.contact_ages
         self.target_list = target_list.TargetList(
@@ -139,7 +140,7 @@
             ),
         )
         exchange.on_registration_changes = self.change_relay.handle_changes
-        self.target_watcher.on_lost = self.reader_role.retry_mismatches
+        self.target_watcher.on_lost = self.reader_role.handle_loss
         self.raw_configuration: source.Content = {}
         self.raw_targets: dict[str, source.Content] = {}
         self.snapshot_exchange = snapshot_exchange.SnapshotExchange(
--- a/sapphirepaddle/peers/answer_runs.py
+++ b/sapphirepaddle/peers/answer_runs.py
@@ -1,12 +1,11 @@
-"""Times at which the source is known to have answered."""
+"""Times at which calls to the source were answered, or failed."""
 
 import dataclasses
 import typing
 
 MAX_ANSWER_GAP_SECONDS: typing.Final = 3.5
-"""Longest time between two answers of one run. The readers of each zone get an
-answer about every two seconds, and lost readers are replaced within three; few
-entries of targets expire in a shorter outage."""
+"""Longest time between two answers of one run; few entries of targets expire in
+a shorter outage."""
 MAX_RUNS: typing.Final = 8
 """Maximum number of runs kept; reports are at most a few seconds late."""
 
--- a/sapphirepaddle/peers/contact.py
+++ b/sapphirepaddle/peers/contact.py
@@ -42,11 +42,14 @@
         verified_since: Monotonic time since when no gap between its answers
             was longer than `answer_runs.MAX_ANSWER_GAP_SECONDS`.
         answered_at: Monotonic time of the source's last answer to it.
+        has_failed: Whether its last call failed. It is not known of a daemon
+            that never had an answer, as it may have made no call.
     """
 
     since: float | None
     verified_since: float
     answered_at: float
+    has_failed: bool = False
 
 
 def from_ages(now: float, ages: ContactAges) -> Contact:
@@ -60,6 +63,7 @@
         since=now - ages.contact / TENTHS_PER_SECOND if ages.contact else None,
         verified_since=now - ages.verified / TENTHS_PER_SECOND,
         answered_at=now - ages.answer / TENTHS_PER_SECOND,
+        has_failed=not ages.contact and ages.answer < digest.MAX_AGE_TENTHS,
     )
 
 
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -289,6 +289,22 @@
         '    lambda self: -math.inf\n'
         ')',
     ),
+    Mutation(
+        'edge: a time in which nobody asked is no outage',
+        'edge.test_lost_readers.TestLostReader.'
+        'test_target_removed_after_the_loss_is_not_kept',
+        'from sapphirepaddle.peers import outage_evidence\n'
+        'outage_evidence.OutageEvidence.has_failure = (\n'
+        '    lambda self, start, end: True\n'
+        ')',
+    ),
+    Mutation(
+        'edge: the successor of a reader asks at once',
+        'edge.test_lost_readers.TestLostReader.'
+        'test_successor_of_a_partitioned_reader_asks_at_once',
+        'from sapphirepaddle.directory import object_watcher\n'
+        'object_watcher.ObjectWatcher.probe = lambda self: None',
+    ),
     Mutation(
         'edge: calls older than the recovery of a reader are replaced',
         'edge.test_reader_role.TestReaderRole.'
--- a/tests/peers/test_contact.py
+++ b/tests/peers/test_contact.py
@@ -23,7 +23,8 @@
     def test_answers_are_reported_while_contact_is_lost(self) -> None:
         ages = contact.to_ages(100, None, answer_runs.Run(95, 99))
         self.assertEqual(
-            contact.from_ages(100, ages), contact.Contact(None, 95, 99)
+            contact.from_ages(100, ages),
+            contact.Contact(None, 95, 99, has_failed=True),
         )
 
     def test_new_contact_is_not_lost(self) -> None:
@@ -37,3 +38,4 @@
     def test_no_answer_yet(self) -> None:
         ages = contact.to_ages(100, None, None)
         self.assertEqual(ages, contact.LONG_CONTACT._replace(contact=0))
+        self.assertFalse(contact.from_ages(100, ages).has_failed)
