Relayed changes are not applied before the first list

A daemon that starts while the first target of an empty store is registered would answer 503 until the store loses its history.

Cause: a relayed change fits the empty state of a daemon that has not listed the targets. It moved the revision forward, so that the list was ignored as older, and the list alone makes the daemon ready.

Change: without a revision, relayed changes are ignored; the list brings them. Measured: test_nothing_is_applied_before_the_first_list failed before.

--- a/sapphirepaddle/edge/change_relay.py
+++ b/sapphirepaddle/edge/change_relay.py
@@ -85,9 +85,13 @@
         self.transmit(message)
 
     def handle_changes(self, message: digest.RegistrationChanges) -> None:
-        """Apply relayed changes if they follow the local registrations."""
+        """Apply relayed changes if they follow the local registrations.
+
+        None do before the first list, although it may be empty there too.
+        """
         if (
-            message.base_fingerprint != self.read_fingerprint()
+            not self.read_revision()
+            or message.base_fingerprint != self.read_fingerprint()
             or message.revision <= self.read_revision()
         ):
             return
--- a/tests/edge/test_change_relay.py
+++ b/tests/edge/test_change_relay.py
@@ -108,6 +108,14 @@
         self.relay(*self.readers[0].sent)
         self.assertEqual(self.follower.content_by_name, {})
 
+    def test_nothing_is_applied_before_the_first_list(self) -> None:
+        # The list was ignored as older, and the daemon never became ready.
+        self.follower.skip_to(0)
+        self.readers[0].read([change('a')], 20)
+        self.relay(*self.readers[0].sent)
+        self.assertEqual(self.follower.content_by_name, {})
+        self.assertEqual(self.follower.revision, 0)
+
     def test_malformed_change_is_not_applied(self) -> None:
         for content in (b'[', b'\xff', b'{"a":1e999}'):
             self.relay(
