A watch begins at the oldest page of a list

Cause: a list in several pages took the revision of its last page for all of them. A change to an object of an earlier page that came between them was in no page, and the watch began behind it.

Change: the revision of a list is the oldest of its pages. As the watch then repeats changes that newer pages contain, only the last change of each object is applied, a fresh watch follows a list whose pages differ, and stale answers older than its newest page are ignored. A page that names no object ends no list if more pages follow.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import typing
 from collections import abc
@@ -58,6 +59,19 @@
     """Do nothing: by default nothing depends on the contact."""
 
 
+@dataclasses.dataclass(slots=True)
+class NextCall:
+    """What the next call of a watcher must do.
+
+    Attributes:
+        must_list: Read a full list, although the revision is known.
+        must_probe: Wait for PROBE_SECONDS only, if it is a watch call.
+    """
+
+    must_list: bool = False
+    must_probe: bool = False
+
+
 class ObjectWatcher:
     """Keeps the objects of one kind up to date.
 
@@ -70,7 +84,8 @@
         kind: Kind of the objects.
         on_full_list: Called with all objects after a full list was read.
         on_changes: Called with the changed objects.
-        revision: Last revision read; 0 if a full list must be read.
+        revision: Last revision read completely; 0 if a full list must be read.
+        seen_revision: Newest revision of which some part was read.
         consecutive_failures: Number of failed calls since the last success.
         unavailable_since: Monotonic time of the first failed call of an
             outage; None while the source answers.
@@ -91,7 +106,7 @@
             it all that they know.
         call_started_at: Monotonic time at which the last watch call was made.
         refresh_requested: Event that is set until a fresh call was answered.
-        must_probe: Whether the next watch call is a probe.
+        next_call: What the next call must do.
         watch_timeout: Timeout of the pending watch call; None if there is
             none.
         logger: Logger for outages and recoveries of the source.
@@ -110,6 +125,7 @@
         self.on_full_list = on_full_list
         self.on_changes = on_changes
         self.revision = 0
+        self.seen_revision = 0
         self.consecutive_failures = 0
         self.unavailable_since: float | None = None
         self.contact_since: float | None = None
@@ -125,7 +141,7 @@
         self.is_led_by_readers = False
         self.call_started_at: float = 0
         self.refresh_requested = asyncio.Event()
-        self.must_probe = False
+        self.next_call = NextCall()
         self.watch_timeout: asyncio.Timeout | None = None
         self.logger = logs.get_logger('follower').bind(kind=kind)
 
@@ -135,7 +151,8 @@
             if (
                 self.is_led_by_readers
                 and self.revision
-                and (not self.is_reader())
+                and not self.refresh_requested.is_set()
+                and not self.is_reader()
             ):
                 await asyncio.sleep(ROLE_CHECK_SECONDS)
                 continue
@@ -143,7 +160,7 @@
                 await self.poll_once()
             except errors.HistoryLostError:
                 self.logger.info('history lost', revision=self.revision)
-                self.revision = 0
+                self.skip_to(0)
             except errors.SourceError as error:
                 await self.handle_failure(error)
 
@@ -153,20 +170,20 @@
         A watch that ended in less than half of its time is followed by a
         pause even without changes, so that early answers cause no busy loop.
         """
-        if not self.revision:
+        if self.next_call.must_list or not self.revision:
             await self.read_all()
             return
         self.call_started_at = clock.monotonic()
         wait_seconds = self.watch_seconds()
-        self.must_probe = False
+        self.next_call.must_probe = False
         read_result = await self.wait_for_changes(wait_seconds)
         if read_result is None:
             return
         self.handle_success()
-        if read_result.revision >= self.revision:
-            self.revision = read_result.revision
+        if read_result.revision >= self.seen_revision:
+            self.skip_to(read_result.revision)
             if read_result.entries:
-                self.on_changes(read_result.entries)
+                self.on_changes(last_by_name(read_result.entries))
         has_ended_early = (
             clock.monotonic() - self.call_started_at < wait_seconds / 2
         )
@@ -181,7 +198,7 @@
 
     def watch_seconds(self) -> float:
         """Return the maximum wait of the next watch call, in seconds."""
-        if self.must_probe:
+        if self.next_call.must_probe:
             return PROBE_SECONDS
         is_unavailable = self.unavailable_since is not None
         if is_unavailable or self.refresh_requested.is_set():
@@ -222,6 +239,7 @@
             self.watch_timeout = None
         if is_fresh:
             self.refresh_requested.clear()
+            self.seen_revision = self.revision
         return read_result
 
     def refresh(self) -> None:
@@ -234,7 +252,7 @@
 
     def probe(self) -> None:
         """Replace a pending watch call by one that waits for no change."""
-        self.must_probe = True
+        self.next_call.must_probe = True
         self.replace_call()
 
     def replace_call(self) -> None:
@@ -247,16 +265,28 @@
 
         A stale list would contain targets that have left and keys that were
         withdrawn, which this daemon may have known before a restart, and
-        would revert changes that were already applied.
+        would revert changes that were already applied. Changes between the
+        pages of a list are read at once by a fresh call.
         """
         read_result = await self.source.list_all(
             self.kind,
             is_stale_allowed=self.is_led_by_readers and not self.is_reader(),
         )
         self.handle_success()
-        if read_result.revision >= self.revision:
-            self.revision = read_result.revision
-            self.on_full_list(read_result.entries)
+        self.next_call.must_list = False
+        if read_result.revision < self.revision:
+            return
+        self.skip_to(read_result.revision)
+        self.on_full_list(read_result.entries)
+        if read_result.newest_revision > read_result.revision:
+            self.seen_revision = read_result.newest_revision
+            self.refresh()
+            self.probe()
+
+    def request_list(self) -> None:
+        """Request a full list, for a state that no watch will correct."""
+        self.next_call.must_list = True
+        self.replace_call()
 
     def skip_to(self, revision: int) -> None:
         """Continue from a revision whose objects were obtained elsewhere.
@@ -264,6 +294,7 @@
         The answer to a pending call is ignored if it reflects an older one.
         """
         self.revision = revision
+        self.seen_revision = revision
 
     def has_waited_since(self, moment: float) -> bool:
         """Return whether a call was pending at a moment and still is.
@@ -321,6 +352,15 @@
                 await self.outage_prober.available.wait()
 
 
+def last_by_name(entries: list[source.Entry]) -> list[source.Entry]:
+    """Return the last of the changes of each object.
+
+    A watch from a revision older than some part of the state repeats changes
+    that this part contains; only the last one is never older than the state.
+    """
+    return list({entry.name: entry for entry in entries}.values())
+
+
 MIN_JITTER_RATIO: typing.Final = 0.5
 """Least part of a retry pause that remains after jitter: pauses are drawn
 between half and all of their length."""
--- a/sapphirepaddle/directory/source.py
+++ b/sapphirepaddle/directory/source.py
@@ -25,12 +25,16 @@
     """Result of a list or watch call.
 
     Attributes:
-        revision: Revision of the source that the result reflects.
+        revision: Revision of the source that the whole result reflects, from
+            which a watch misses nothing.
         entries: All objects of a list, or the changes of a watch.
+        newest_revision: Revision that some part of a list reflects, if it was
+            read in several parts and a newer one than the whole; 0 otherwise.
     """
 
     revision: int
     entries: list[Entry]
+    newest_revision: int = 0
 
 
 class Source(abc.ABC):
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -50,9 +50,18 @@
         kind: str,
         is_stale_allowed: bool,
     ) -> source.ReadResult:
-        """Return all objects of a kind, read page by page."""
+        """Return all objects of a kind, read page by page.
+
+        Pages may reflect different revisions: objects change between them, and
+        stale pages may come from different copies.
+
+        Raises:
+            SourceError: If a page that is not the last one names no object,
+                so that what follows it cannot be read.
+        """
         query = stale_query(is_stale_allowed)
         entries: list[source.Entry] = []
+        revisions: list[int] = []
         while True:
             path = object_path(kind, query=query)
             answer = await self.call(
@@ -62,10 +71,13 @@
                 answer.get('items') or (), object_parser.read_entry
             )
             entries.extend(page)
-            if not answer.get('truncated') or not page:
+            revisions.append(read_revision(answer.get(REVISION_KEY)))
+            if not answer.get('truncated'):
                 return source.ReadResult(
-                    read_revision(answer.get(REVISION_KEY)), entries
+                    min(revisions), entries, max(revisions)
                 )
+            if not page:
+                raise errors.SourceError('page of a list without names')
             query = query | {'after': page[-1].name}
 
     async def watch(
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from sapphirepaddle.directory import memory_source, object_watcher, source
 
@@ -19,6 +20,7 @@
         self.source = memory_source.MemorySource()
         self.is_reader = False
         self.number_by_name: dict[str, int] = {}
+        self.numbers: list[int] = []
         self.watcher = object_watcher.ObjectWatcher(
             self.source,
             KIND,
@@ -42,6 +44,7 @@
         for entry in entries:
             assert entry.content is not None
             self.number_by_name[entry.name] = entry.content['n']
+            self.numbers.append(entry.content['n'])
 
     async def change_object(self, number: int) -> None:
         """Write a number into the object."""
@@ -114,6 +117,42 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(self.number_by_name['one'], 3)
 
+    async def test_nothing_that_a_list_in_parts_contains_is_undone(
+        self,
+    ) -> None:
+        # The watch begins at the oldest part and repeats what newer ones have.
+        oldest_revision = self.source.revision
+        for number in (2, 3):
+            await self.change_object(number)
+        await asyncio.sleep(0.1)
+        self.source.stale_revision = oldest_revision + 1
+        listing = source.ReadResult(
+            oldest_revision,
+            [source.Entry('one', {'n': 3})],
+            self.source.revision,
+        )
+        with mock.patch.object(self.source, 'list_all', return_value=listing):
+            self.watcher.request_list()
+            async with asyncio.timeout(20):
+                while self.watcher.revision != self.source.revision:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(self.numbers, [1, 3, 3])
+        self.assertEqual(self.source.fresh_calls, 1)
+
+    async def test_stale_answer_older_than_a_part_of_a_list(self) -> None:
+        for number in (2, 3):
+            await self.change_object(number)
+        self.number_by_name['one'] = 3
+        self.watcher.seen_revision = self.source.revision
+        self.source.stale_revision = self.source.revision - 1
+        previous_calls = self.source.calls
+        async with self.source.changed:
+            self.source.changed.notify_all()
+        async with asyncio.timeout(20):
+            while self.source.calls == previous_calls:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.number_by_name['one'], 3)
+
     async def test_unanswered_refresh_is_repeated(self) -> None:
         self.source.is_silent = True
         self.watcher.refresh()
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -1,8 +1,11 @@
 """Tests of the object store client against a stand-in server."""
 
 import asyncio
+import itertools
 import threading
+import typing
 import unittest
+from collections import abc
 from unittest import mock
 
 from sapphirepaddle import errors
@@ -15,6 +18,7 @@
 from tests.support import edge_daemon_case
 
 PAGE_OBJECTS = 2
+Change = abc.Callable[[], abc.Awaitable[typing.Any]]
 
 
 class TestObjectSource(unittest.IsolatedAsyncioTestCase):
@@ -52,6 +56,85 @@
         )
         self.assertEqual(read_result.revision, self.memory.revision)
 
+    async def list_with_change(self, change: Change) -> source.ReadResult:
+        """Read a list of five objects; one changes after the first page."""
+        for name in 'abcde':
+            await self.put(name, number=1)
+        call = self.source.call
+        calls = itertools.count()
+
+        async def call_and_change(
+            *args: object, **options: object
+        ) -> source.Content:
+            page = await call(*args, **options)
+            if next(calls) == 0:
+                await change()
+            return page
+
+        with mock.patch.object(self.source, 'call', call_and_change):
+            return await self.source.list_all('kind', is_stale_allowed=False)
+
+    async def changes_since(
+        self, read_result: source.ReadResult
+    ) -> list[source.Entry]:
+        """Return the changes that a watch from a list finds."""
+        watched = await self.source.watch(
+            'kind', read_result.revision, 0.1, is_stale_allowed=False
+        )
+        return watched.entries
+
+    async def test_change_between_pages_is_not_missed(self) -> None:
+        # A daemon that restarted sent requests to a target that had left.
+        read_result = await self.list_with_change(
+            lambda: self.source.delete('kind', 'a')
+        )
+        self.assertEqual(
+            await self.changes_since(read_result), [source.Entry('a', None)]
+        )
+        self.assertEqual(read_result.newest_revision, self.memory.revision)
+
+    async def test_last_object_of_a_page_is_deleted(self) -> None:
+        read_result = await self.list_with_change(
+            lambda: self.source.delete('kind', 'b')
+        )
+        self.assertEqual(
+            [entry.name for entry in read_result.entries], [*'abcde']
+        )
+        self.assertEqual(
+            await self.changes_since(read_result), [source.Entry('b', None)]
+        )
+
+    async def test_later_page_of_an_older_copy(self) -> None:
+        revisions = iter((9, 7, 8))
+        pages = [
+            {
+                'items': [{'metadata': {'name': name}, 'spec': {}}],
+                'truncated': name != 'c',
+                'currentRev': next(revisions),
+            }
+            for name in 'abc'
+        ]
+        with mock.patch.object(
+            self.source, 'call', mock.AsyncMock(side_effect=pages)
+        ):
+            read_result = await self.source.list_all(
+                'kind', is_stale_allowed=True
+            )
+        self.assertEqual(
+            (read_result.revision, read_result.newest_revision), (7, 9)
+        )
+
+    async def test_page_without_names_does_not_end_a_list(self) -> None:
+        # The targets of the pages that follow would count as gone.
+        page = {'items': [{'spec': {}}], 'truncated': True, 'currentRev': 9}
+        with (
+            mock.patch.object(
+                self.source, 'call', mock.AsyncMock(return_value=page)
+            ),
+            self.assertRaises(errors.SourceError),
+        ):
+            await self.source.list_all('kind', is_stale_allowed=False)
+
     async def test_put_replaces(self) -> None:
         await self.put('a', number=1)
         await self.put('a', number=2)
