A daemon that differs from its readers for long reads the full list

Cause: a daemon whose targets differ from those of a reader made one fresh watch call, and a watch from the same revision brings no old change.

Change: after 3 s of difference it reads the full list, at intervals that grow from 10 to 320 s while that changes nothing: with another version of the fingerprint in a rolling upgrade a list repairs nothing. The first call after a difference stays a watch, which repairs an ordinary lag and costs less.

Measured: test_change_that_was_missed_for_good_is_repaired fails without it (tests.mechanisms_off).

--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -11,6 +11,12 @@
 MAX_MISMATCH_SECONDS: typing.Final = 0.7
 """Time for which the targets fingerprint of a reader may differ from the local
 one: slightly longer than the interval in which watches batch changes."""
+MAX_DIFFERENCE_SECONDS: typing.Final = 3.0
+"""Time for which the targets may differ from those of a reader whatever is
+read; then a full list is read."""
+LIST_INTERVAL_SECONDS: typing.Final = (10.0, 320.0)
+"""First and longest interval between such lists; it doubles while they change
+nothing."""
 SETTLING_SECONDS: typing.Final = 1.5
 """Time after the start in which a daemon is no reader, as it does not know the
 others of its zone. Its first lists are fresh."""
@@ -39,7 +45,8 @@
     registrations that it has loaded. The other daemons watch with calls whose
     answer may be stale, and make a fresh call when the fingerprint of a
     reader has differed for MAX_MISMATCH_SECONDS, or when a reader has regained
-    contact since their call.
+    contact since their call. A daemon whose targets differ for longer, although
+    it has read all changes, has missed one and reads the full list.
 
     Attributes:
         watchers: Watchers of the source, first that of the targets, which
@@ -55,6 +62,10 @@
             reader, on the monotonic clock.
         handled_mismatches: The last pair of local and remote fingerprint for
             which a fresh call was made, by reader.
+        differs_since: Since when the targets of a reader have differed at
+            each check, on the monotonic clock; None if no reader's do.
+        next_list_at: Monotonic time from which the full list may be read.
+        list_interval_seconds: Interval to the next such list.
         logger: Log of role changes and mismatches.
     """
 
@@ -74,6 +85,9 @@
         self.was_first = True
         self.mismatch_since: dict[int, float] = {}
         self.handled_mismatches: dict[int, tuple[int, int]] = {}
+        self.differs_since: float | None = None
+        self.next_list_at = -math.inf
+        self.list_interval_seconds = LIST_INTERVAL_SECONDS[0]
         self.logger = logs.get_logger('reading')
         for watcher, *seconds in zip(
             (target_watcher, configuration_watcher),
@@ -124,9 +138,40 @@
                 'targets differ from those of readers', readers=len(readers)
             )
             self.watchers[0].refresh()
+        self.list_if_different()
         self.replace_unanswered_calls()
         return readers
 
+    def list_if_different(self) -> None:
+        """Read the full list if the targets have differed for too long.
+
+        Watches bring only what changes, so they repair no change that was
+        missed. Readers compare themselves with each other, and list as well.
+        """
+        now = clock.monotonic()
+        local_fingerprint = self.count_exchange.read_targets_fingerprint()
+        if not any(
+            reader.targets_fingerprint not in {0, local_fingerprint}
+            for reader in self.peer_readers().values()
+        ):
+            self.differs_since = None
+            self.list_interval_seconds = LIST_INTERVAL_SECONDS[0]
+            return
+        if self.differs_since is None:
+            self.differs_since = now
+        is_late = now - self.differs_since > MAX_DIFFERENCE_SECONDS
+        if (
+            is_late
+            and now >= self.next_list_at
+            and self.watchers[0].unavailable_since is None
+        ):
+            self.logger.warning('targets differ for long, list requested')
+            self.next_list_at = now + self.list_interval_seconds
+            self.list_interval_seconds = min(
+                2 * self.list_interval_seconds, LIST_INTERVAL_SECONDS[1]
+            )
+            self.watchers[0].request_list()
+
     def update_rank(self) -> None:
         """Set how long a call may wait, by the rank among the readers.
 
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -94,6 +94,20 @@
         await self.drain()
         await self.wait_until_all_drain()
 
+    async def test_change_that_was_missed_for_good_is_repaired(self) -> None:
+        # No watch brings a change that the revision already covers.
+        follower = next(
+            peer for peer in self.daemons if peer not in self.readers()
+        )
+        synchronizer = follower.components.synchronizer
+        synchronizer.apply_target_changes([source.Entry('t-1', None)])
+        await self.wait_until(
+            lambda: (
+                follower.components.directory.find_target('t-1') is not None
+            ),
+            seconds=20,
+        )
+
     async def test_readers_relay_changes(self) -> None:
         # Without relayed changes the others would wait for an hour.
         self.enterContext(
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -289,6 +289,20 @@
         '    lambda self: -math.inf\n'
         ')',
     ),
+    Mutation(
+        'edge: a watch begins at the oldest page of a list',
+        'platform.test_object_source.TestObjectSource.'
+        'test_change_between_pages_is_not_missed',
+        'from sapphirepaddle.platform import object_source\n'
+        'object_source.min = max',
+    ),
+    Mutation(
+        'edge: targets that differ from those of a reader are listed',
+        'edge.test_reader_role.TestReaderRole.'
+        'test_change_that_was_missed_for_good_is_repaired',
+        'from sapphirepaddle.edge import reader_role\n'
+        'reader_role.ReaderRole.list_if_different = lambda self: None',
+    ),
     Mutation(
         'edge: a time in which nobody asked is no outage',
         'edge.test_lost_readers.TestLostReader.'
