Answers whose status is not one of HTTP are no answers

What callers saw: reported of other systems, a status of 000 passed on as an answer. Here 000 was rejected on both request paths, but paddle-edge passed 600 and 999 on, and paddle-entry 600, 999, 1000, 0200, 200x and 200 in Arabic digits. Both believed the statement of such an answer that an order had not run.

Cause: h11 accepts three digits up to 999, aiosonic any run of decimal digits and what follows it. Ruled out: 000, 1xx and 101, which neither program takes for a final answer.

Change: paddle-edge treats a final status above 599 as a broken answer before it reads the headers; paddle-entry checks the whole status line.

--- a/sapphirepaddle/gateway/target_connection.py
+++ b/sapphirepaddle/gateway/target_connection.py
@@ -11,6 +11,9 @@
 MAX_HEAD_BYTES: typing.Final = 65536
 MAX_CHUNK_BYTES: typing.Final = 16777216
 """Maximum size of a chunk; aiosonic reads each chunk into memory as a whole."""
+STATUS_LINE_PATTERN: typing.Final = re.compile(
+    rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n'
+)
 BLANK_LINES: typing.Final = frozenset((b'\r\n', b'\n'))
 CHUNK_SIZE_PATTERN: typing.Final = re.compile(rb'[0-9a-fA-F]{1,8}\r\n|\r\n')
 
@@ -124,18 +127,19 @@
 def check_head_line(line: bytes, current_attempt: attempt.Attempt) -> None:
     """Check a line of the head and the size of the head so far.
 
+    Of the status aiosonic takes as many digits as there are, also those of
+    other scripts, and ignores what follows.
+
     Raises:
-        HttpParsingError: If a header line has no colon or the head is over
-            the limit.
+        HttpParsingError: If a header line has no colon, the status line has
+            no status of HTTP or the head is over the limit.
     """
     if current_attempt.head_bytes > MAX_HEAD_BYTES:
         raise exceptions.HttpParsingError(
             f'head exceeds {MAX_HEAD_BYTES} bytes'
         )
-    is_status_line = current_attempt.head_bytes == len(line)
-    if (
-        current_attempt.is_reading_head
-        and not is_status_line
-        and b':' not in line
-    ):
+    if current_attempt.head_bytes == len(line):
+        if not STATUS_LINE_PATTERN.fullmatch(line):
+            raise exceptions.HttpParsingError('malformed status line')
+    elif current_attempt.is_reading_head and b':' not in line:
         raise exceptions.HttpParsingError('head line without a colon')
--- a/sapphirepaddle/proxy/target_connection.py
+++ b/sapphirepaddle/proxy/target_connection.py
@@ -16,6 +16,8 @@
 MAX_SKIPPED_HEADS: typing.Final = 16
 """Maximum number of interim answers and of late answers to other requests that
 are skipped before the answer."""
+MAX_STATUS: typing.Final = 599
+"""Highest final status of HTTP; h11 accepts up to 999."""
 MAX_BODY_PIECES: typing.Final = 16384
 """Maximum number of chunks of a body: parsing takes time for each of them."""
 CONNECTION_ERRORS: typing.Final = (
@@ -144,6 +146,8 @@
                 break
         if not isinstance(head, h11.Response):
             raise h11.RemoteProtocolError('no answer')
+        if head.status_code > MAX_STATUS:
+            raise h11.RemoteProtocolError(f'status {head.status_code}')
         if method != b'HEAD':
             check_stated_length(head)
         memory = body_memory.Reservation(self.answer_memory)
--- a/tests/edge/test_requests.py
+++ b/tests/edge/test_requests.py
@@ -2,14 +2,33 @@
 
 import asyncio
 
-from tests.support import edge_daemon_case, platform_objects, scripted_target
+from tests.support import (
+    edge_daemon_case,
+    malformed_status,
+    platform_objects,
+    scripted_target,
+)
 
 ReceivedRequest = scripted_target.ReceivedRequest
 request = edge_daemon_case.request
+NOT_EXECUTED = 'X-Not-Executed: 1'
 CUT_COUNT = 150
 """More than the bytes of a head, so that it is cut behind each of them."""
 
 
+def answer_with(status: bytes, extra: str) -> scripted_target.Script:
+    """Return a script that answers with a status and a header, and closes."""
+
+    async def answer_and_close(received: ReceivedRequest) -> None:
+        stamp = '' if extra == NOT_EXECUTED else 'stamp'
+        head = received.head(200, 2, extra, stamp=stamp)
+        received.writer.write(head.replace(b' 200 ', b' %s ' % status, 1))
+        received.writer.write(b'ok')
+        received.writer.close()
+
+    return answer_and_close
+
+
 class OneTargetCase(edge_daemon_case.EdgeDaemonCase):
     """A daemon with one target for each service."""
 
@@ -247,6 +266,19 @@
 
         self.assertEqual((await self.reply_to(send_garbage)).status, 502)
 
+    async def test_status_that_is_no_final_one(self) -> None:
+        # Of another system, callers got a status of 000 as an answer.
+        for number, status in enumerate(malformed_status.STATUSES):
+            for extra in ('X-Other: 1', NOT_EXECUTED):
+                with self.subTest(status=status, extra=extra):
+                    self.targets['o-1'].script = answer_with(status, extra)
+                    reply = await self.order(f'{number}-{extra[2]}')
+                    self.assertEqual(reply.status, 502)
+        self.assertEqual(
+            len(self.targets['o-1'].received),
+            2 * len(malformed_status.STATUSES),
+        )
+
     async def test_success_without_stamp(self) -> None:
         async def omit_stamp(received: ReceivedRequest) -> None:
             received.writer.write(received.head(200, 2, stamp='') + b'ok')
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sapphirepaddle.gateway import attempt, target_client
-from tests.support import endless_target, raw_target
+from tests.support import endless_target, malformed_status, raw_target
 
 Fault = attempt.Fault
 LONG_TIMEOUT_SECONDS = 10
@@ -131,6 +131,22 @@
                 fault = await self.send_expecting_fault()
                 self.assertIs(fault, Fault.BROKEN)
 
+    async def test_status_that_is_no_final_one(self) -> None:
+        """Neither an answer nor a statement that the request did not run."""
+        for status, extra in itertools.product(
+            malformed_status.STATUSES, (b'X-Other: 1', b'X-Not-Run: 1')
+        ):
+            raw = (
+                b'HTTP/1.1 %s Status\r\nX-Request-Id: ID\r\n'
+                b'%s\r\nContent-Length: 2\r\n\r\nok' % (status, extra)
+            )
+            with self.subTest(status=status, extra=extra):
+                await self.start_raw_target(
+                    fixed_answer_script(raw, close=True)
+                )
+                fault = await self.send_expecting_fault()
+                self.assertIs(fault, Fault.BROKEN)
+
     async def test_answer_that_ends_within_its_head(self) -> None:
         """The head is cut behind each of its bytes."""
         head = b'HTTP/1.1 200 OK\r\nX-Some: x\r\nContent-Length: 12\r\n\r\n'
