Callers that leave are noticed behind their waiting requests

Requests beyond the first 16 of a connection were given their whole deadline again, and targets slots for answers that nobody reads.

Cause: a connection with 16 requests in progress was not read, and its end shows only once all input was read. paddle-entry stopped reading at the second pipelined request, and could cancel only the last request that it had read.

Ruled out: a cancellation that does not reach waiting requests; with 12 requests on a connection all of them end at once. A larger buffer would only move the limit.

Change: requests are read while others run, and up to 64 of them or 64 KiB wait; beyond that the rest of the input is discarded, and the connection closes after those that were read.

--- a/sapphirepaddle/gateway/caller_connection.py
+++ b/sapphirepaddle/gateway/caller_connection.py
@@ -9,6 +9,8 @@
 from sapphirepaddle.gateway import header_names
 from sapphirepaddle.settings import entry
 
+MAX_PIPELINED_REQUESTS: typing.Final = 64
+"""Maximum number of requests that wait for earlier ones of a connection."""
 CANCELLER_KEY: typing.Final = 'paddle.disconnect'
 """Key of the request's TaskCanceller in the ASGI scope."""
 
@@ -42,6 +44,11 @@
 class CallerProtocol(httptools_impl.HttpToolsProtocol):
     """Uvicorn's HTTP protocol with limits on the size and time of heads.
 
+    Uvicorn stops reading while a pipelined request waits, and would not notice
+    that the caller has left. Here reading goes on; if too many requests wait,
+    the rest of the input is discarded and the connection closes after those
+    that were read.
+
     Attributes:
         limits: Size and time limits.
         head_bytes: Bytes received of the current request head.
@@ -49,7 +56,9 @@
         is_reading_body: Whether a request body is being received.
         discarded_bytes: Bytes of a body received after its answer was sent.
         head_timer: Closes the connection if a head takes too long.
-        task_canceller: Cancels the current request on disconnect.
+        cancellers: Cancel the requests whose answers may be incomplete on
+            disconnect, each with the request, oldest first.
+        is_discarding: Whether further requests are ignored.
     """
 
     limits = entry.CallerLimits()
@@ -62,7 +71,10 @@
         self.is_reading_body = False
         self.discarded_bytes = 0
         self.head_timer: asyncio.TimerHandle | None = None
-        self.task_canceller = TaskCanceller()
+        self.cancellers: list[
+            tuple[httptools_impl.RequestResponseCycle, TaskCanceller]
+        ] = []
+        self.is_discarding = False
 
     def connection_made(self, transport: typing.Any) -> None:
         """Start the timer of the first head."""
@@ -70,11 +82,15 @@
         self.start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in progress if its answer is incomplete."""
+        """Cancel the requests whose answers are incomplete."""
         super().connection_lost(exc)
         self.stop_head_timer()
-        if self.cycle is not None and not self.cycle.response_complete:
-            self.task_canceller.cancel_task()
+        self.pipeline.clear()
+        for cycle, canceller in self.cancellers:
+            cycle.disconnected = True
+            cycle.message_event.set()
+            if not cycle.response_complete:
+                canceller.cancel_task()
 
     def data_received(self, data: bytes) -> None:
         """Count the bytes of a request head, then parse the data."""
@@ -96,6 +112,8 @@
         body is read and discarded, up to the largest allowed body, so that
         the caller can finish sending and then read the refusal.
         """
+        if self.is_discarding:
+            return
         super().on_body(body)
         if self.cycle.response_complete:
             self.discarded_bytes += len(body)
@@ -104,7 +122,8 @@
 
     def on_message_complete(self) -> None:
         """Reset the state of the body at the end of a request."""
-        super().on_message_complete()
+        if not self.is_discarding:
+            super().on_message_complete()
         self.is_reading_body = False
         self.discarded_bytes = 0
 
@@ -125,9 +144,20 @@
         self.is_reading_body = True
         self.head_bytes = 0
         self.stop_head_timer()
-        self.task_canceller = TaskCanceller()
-        self.scope[CANCELLER_KEY] = self.task_canceller
+        if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
+            self.is_discarding = True
+            self.cycle.keep_alive = False
+        if self.is_discarding:
+            return
+        canceller = TaskCanceller()
+        self.scope[CANCELLER_KEY] = canceller
         super().on_headers_complete()
+        self.cancellers = [
+            entry for entry in self.cancellers if not entry[0].response_complete
+        ]
+        self.cancellers.append((self.cycle, canceller))
+        if self.pipeline:
+            self.flow.resume_reading()
 
     def start_head_timer(self) -> None:
         """Start the timer of the head unless it is running."""
--- a/sapphirepaddle/proxy/caller_connection.py
+++ b/sapphirepaddle/proxy/caller_connection.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import typing
+from collections import abc
 
 from sapphirepaddle.gateway import answer
 from sapphirepaddle.proxy import (
@@ -18,17 +20,30 @@
 READ_BYTES: typing.Final = 65536
 MAX_PIPELINED_REQUESTS: typing.Final = 16
 """Maximum number of concurrent requests of one connection."""
+MAX_WAITING_REQUESTS: typing.Final = 64
+"""Maximum number of requests of one connection that were read and wait for
+others to be answered."""
+MAX_WAITING_BYTES: typing.Final = 65536
+"""Size of the waiting requests of one connection beyond which no further one is
+read."""
 LINGER_SECONDS: typing.Final = 1
 """Wait for the caller's close, so that it can read the last answer."""
 
 Pending = tuple[exchange.Exchange, asyncio.Task[answer.Answer]]
+ComputeAnswer = abc.Callable[
+    [], abc.Coroutine[typing.Any, typing.Any, answer.Answer]
+]
+Waiting = tuple[exchange.Exchange, ComputeAnswer]
 
 
 class CallerConnection:
     """Serves one connection of a caller.
 
     A caller that closes or half-closes its side counts as disconnected,
-    and its running requests are cancelled.
+    and its running requests are cancelled. The end of its input shows only
+    once all of it was read, so reading goes on while requests wait. If too
+    many wait, the rest of the input is discarded, and the connection closes
+    after the requests that were read: the caller sends the others again.
 
     Attributes:
         reader: Stream from the caller.
@@ -36,6 +51,8 @@
         handler: Answers the requests.
         pending: Exchanges whose answer is not sent yet, each with the task
             that computes the answer, oldest first.
+        waiting: Requests that start when a pending one was answered, oldest
+            first.
         pending_changed: Set when an exchange begins or ends.
         idle_timer: Closes the connection when no request arrives.
         request_reader: Reads the requests.
@@ -55,6 +72,7 @@
         self.writer = writer
         self.handler = request_handler
         self.pending: collections.deque[Pending] = collections.deque()
+        self.waiting: collections.deque[Waiting] = collections.deque()
         self.pending_changed = asyncio.Event()
         self.idle_timer = idle_timer.IdleTimer(self.close_idle)
         self.request_reader = request_reader.RequestReader(
@@ -108,9 +126,18 @@
             leftover = current_exchange.take_leftover()
             if current_exchange.is_ended:
                 return
-            while len(self.pending) >= MAX_PIPELINED_REQUESTS:
-                self.pending_changed.clear()
-                await self.pending_changed.wait()
+            if self.is_waiting_full():
+                self.is_closing = True
+
+    def is_waiting_full(self) -> bool:
+        """Return whether no further request may be read."""
+        waiting_bytes = sum(
+            waiting_exchange.held_bytes for waiting_exchange, _ in self.waiting
+        )
+        return (
+            len(self.waiting) >= MAX_WAITING_REQUESTS
+            or waiting_bytes >= MAX_WAITING_BYTES
+        )
 
     async def read_request(self, current_exchange: exchange.Exchange) -> bool:
         """Read one request and start to answer it.
@@ -119,36 +146,43 @@
             Whether further requests may be read.
         """
         try:
-            request = await self.request_reader.read(current_exchange)
+            caller_request = await self.request_reader.read(current_exchange)
         except request_reader.RefusedHeadError as error:
             self.logger.info('request refused', status=error.status)
-            self.start(
-                current_exchange, answer_refused_head(self.handler, error)
+            self.enqueue(
+                current_exchange,
+                functools.partial(answer_refused_head, self.handler, error),
             )
             self.is_closing = True
             return False
         except BaseException:
             self.handler.memory.release(current_exchange.held_bytes)
             raise
-        if request is None or self.is_closing:
+        if caller_request is None or self.is_closing:
             self.handler.memory.release(current_exchange.held_bytes)
             return False
-        current_exchange.method = request.method
-        self.start(current_exchange, self.handler.handle(request))
+        current_exchange.method = caller_request.method
+        self.enqueue(
+            current_exchange,
+            functools.partial(self.handler.handle, caller_request),
+        )
         return True
 
-    def start(
-        self,
-        current_exchange: exchange.Exchange,
-        answer_coroutine: typing.Coroutine[
-            typing.Any, typing.Any, answer.Answer
-        ],
+    def enqueue(
+        self, current_exchange: exchange.Exchange, compute: ComputeAnswer
     ) -> None:
-        """Start the task that computes an answer."""
-        self.pending.append(
-            (current_exchange, asyncio.create_task(answer_coroutine))
-        )
-        self.pending_changed.set()
+        """Let a request wait for its turn; it may start at once."""
+        self.waiting.append((current_exchange, compute))
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Start waiting requests while fewer than the maximum are pending."""
+        while self.waiting and len(self.pending) < MAX_PIPELINED_REQUESTS:
+            current_exchange, compute = self.waiting.popleft()
+            self.pending.append(
+                (current_exchange, asyncio.create_task(compute()))
+            )
+            self.pending_changed.set()
 
     async def send_answers(self) -> None:
         """Send the answers in the order of the requests."""
@@ -172,6 +206,7 @@
         await self.send(current_exchange, await answer_task)
         self.pending.popleft()
         self.handler.memory.release(current_exchange.held_bytes)
+        self.start_waiting()
         self.pending_changed.set()
         return not current_exchange.must_close
 
@@ -185,7 +220,7 @@
         That header is set only if no other request is pending: the caller
         would send a pending request again elsewhere.
         """
-        is_alone = len(self.pending) == 1
+        is_alone = len(self.pending) == 1 and not self.waiting
         if is_alone and self.handler.is_leaving:
             self.is_closing = True
         is_last = is_alone and self.is_closing
@@ -204,9 +239,10 @@
     async def cancel_and_close(self, *tasks: asyncio.Task[None]) -> None:
         """Cancel the tasks, release their body memory and close."""
         answer_tasks = [answer_task for _, answer_task in self.pending]
-        for current_exchange, _ in self.pending:
+        for current_exchange, _ in (*self.pending, *self.waiting):
             self.handler.memory.release(current_exchange.held_bytes)
         self.pending.clear()
+        self.waiting.clear()
         for task in (*tasks, *answer_tasks):
             task.cancel()
         results = await asyncio.gather(
--- a/tests/edge/test_requests.py
+++ b/tests/edge/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sapphirepaddle.proxy import caller_connection
 from tests.support import (
     edge_daemon_case,
     malformed_status,
@@ -11,6 +12,7 @@
 
 ReceivedRequest = scripted_target.ReceivedRequest
 request = edge_daemon_case.request
+RUNNING_COUNT = caller_connection.MAX_PIPELINED_REQUESTS
 NOT_EXECUTED = 'X-Not-Executed: 1'
 CUT_COUNT = 150
 """More than the bytes of a head, so that it is cut behind each of them."""
@@ -193,6 +195,79 @@
         target = self.targets['t-1']
         await self.wait_until(lambda: target.disconnected == ['gone'])
 
+    async def pipeline(
+        self, count: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send pipelined requests and wait until the first ones run.
+
+        Their targets answer when `release` is set.
+        """
+        self.release = asyncio.Event()
+
+        async def answer_when_released(received: ReceivedRequest) -> None:
+            await self.release.wait()
+            received.answer(body=received.identifier.encode())
+
+        self.targets['t-1'].script = answer_when_released
+        reader, writer = await self.connect(self.daemon)
+        for number in range(count):
+            writer.write(request('/reads/x', f'p{number}'))
+        await self.wait_until(
+            lambda: len(self.targets['t-1'].received) == RUNNING_COUNT
+        )
+        return reader, writer
+
+    async def test_disconnect_behind_waiting_requests(self) -> None:
+        # Targets worked on, and got requests after their caller had left.
+        for count in (24, 400):
+            with self.subTest(count=count):
+                _, writer = await self.pipeline(count)
+                writer.close()
+                target = self.targets['t-1']
+                await self.wait_until(
+                    lambda: len(target.disconnected) == RUNNING_COUNT,
+                    seconds=10,
+                )
+                self.release.set()
+                self.assertEqual(len(target.received), RUNNING_COUNT)
+                target.received.clear()
+                target.disconnected.clear()
+
+    async def test_waiting_requests_are_given_what_is_left(self) -> None:
+        _, writer = await self.pipeline(RUNNING_COUNT + 1)
+        await asyncio.sleep(0.5)
+        self.release.set()
+        received = self.targets['t-1'].received
+        await self.wait_until(lambda: len(received) > RUNNING_COUNT)
+        self.assertLessEqual(int(received[-1].headers['x-deadline-ms']), 1000)
+        writer.close()
+
+    async def test_too_many_waiting_requests_close_the_connection(
+        self,
+    ) -> None:
+        reader, writer = await self.pipeline(400)
+        (connection,) = self.daemon.components.caller_listener.connections
+        await self.wait_until(lambda: connection.is_closing)
+        self.release.set()
+        count = RUNNING_COUNT + caller_connection.MAX_WAITING_REQUESTS
+        replies = [
+            await edge_daemon_case.read_reply(reader) for _ in range(count)
+        ]
+        self.assertEqual(
+            [reply.headers['x-request-id'] for reply in replies],
+            [f'p{number}' for number in range(count)],
+        )
+        self.assertEqual(
+            [
+                number
+                for number, reply in enumerate(replies)
+                if 'connection' in reply.headers
+            ],
+            [count - 1],
+        )
+        self.assertEqual(await reader.read(), b'')
+        writer.close()
+
     async def test_half_close_closes_connection(self) -> None:
         started = asyncio.Event()
 
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -30,6 +30,87 @@
     await send({'type': 'http.response.body', 'body': b'ok'})
 
 
+class TestPipelinedRequests(unittest.IsolatedAsyncioTestCase):
+    """A caller that leaves must be noticed behind requests that wait.
+
+    Targets went on working, as reading paused behind the second request.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Start a server whose application records what is cancelled."""
+        self.release = asyncio.Event()
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        listening_socket = http_server.listen(base.Listener(port=0))
+        self.server = http_server.create(
+            self.answer_when_released,
+            caller_connection.create_protocol_class(LIMITS),
+        )
+        server_task = asyncio.create_task(
+            http_server.run(self.server, listening_socket)
+        )
+        self.addAsyncCleanup(http_server.stop, self.server, server_task)
+        self.addCleanup(self.release.set)
+        self.reader, self.writer = await asyncio.open_connection(
+            '127.0.0.1', listening_socket.getsockname()[1]
+        )
+        self.addCleanup(self.writer.close)
+
+    async def answer_when_released(self, scope, receive, send) -> None:
+        """Answer with the path after `release` is set (ASGI)."""
+        scope[caller_connection.CANCELLER_KEY].task = asyncio.current_task()
+        self.started.append(scope['path'])
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(scope['path'])
+            return
+        await send(
+            {'type': 'http.response.start', 'status': 200, 'headers': []}
+        )
+        body = scope['path'].encode()
+        await send({'type': 'http.response.body', 'body': body})
+
+    def send_requests(self, count: int) -> None:
+        """Send requests, each with its number for the path."""
+        for number in range(count):
+            self.writer.write(b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n' % number)
+
+    async def wait_until(self, condition: typing.Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_running_request_of_a_caller_that_left_is_cancelled(
+        self,
+    ) -> None:
+        for count in (2, 24, 400):
+            with self.subTest(count=count):
+                self.send_requests(count)
+                await self.wait_until(lambda: self.started == ['/0'])
+                self.writer.close()
+                await self.wait_until(lambda: self.cancelled == ['/0'])
+                self.assertEqual(self.started, ['/0'])
+            self.started.clear()
+            self.cancelled.clear()
+            port = self.server.servers[0].sockets[0].getsockname()[1]
+            self.reader, self.writer = await asyncio.open_connection(
+                '127.0.0.1', port
+            )
+
+    async def test_all_that_were_read_are_answered_in_order(self) -> None:
+        self.send_requests(400)
+        await self.wait_until(lambda: bool(self.started))
+        await asyncio.sleep(0.2)
+        self.release.set()
+        answers = await self.reader.read()
+        count = caller_connection.MAX_PIPELINED_REQUESTS + 1
+        self.assertEqual(self.started, [f'/{one}' for one in range(count)])
+        self.assertEqual(answers.count(b'HTTP/1.1 200'), count)
+        self.assertEqual(answers.count(b'connection: close'), 1)
+
+
 class TestBounds(unittest.IsolatedAsyncioTestCase):
     """A caller must not stop the server or keep a connection occupied.
 
