Daemons that were killed grant no burst again

Cause: what was admitted is in the memory of the daemons alone, and a new bucket was full.

Ruled out: tokens in the store (a write for each account and second, and the store may be silent), tokens from peers (after the death of all nobody has them).

Change: a bucket is empty when its daemon starts and refills from then on, unless the settings state that the fleet starts for the first time. The slack for retries, of which each start granted a quarter at once, accrues over the first window.

Tests that need a burst at once state a first start; none of their bounds changed.

--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -102,6 +102,7 @@
             self.fleet.in_touch_ratio,
             lambda name: self.count_exchange.record_admission(name),
         )
+        self.quotas.starts_full = settings.is_first_start
         self.quotas.read_report_delay = self.fleet.report_delay_seconds
         self.directory.read_zone_size = self.fleet.local_zone_size
         self.count_exchange = count_exchange.CountExchange(
--- a/sapphirepaddle/limits/account_quotas.py
+++ b/sapphirepaddle/limits/account_quotas.py
@@ -53,6 +53,8 @@
         rng: Random number generator.
         read_report_delay: Returns the time in seconds within which the other
             daemons report their admissions; 0 if it can be ignored.
+        starts_full: Whether nothing was admitted before this daemon started,
+            as no daemon of the fleet had run.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.on_admitted = on_admitted
         self.rng = random.Random()
         self.read_report_delay: abc.Callable[[], float] = no_delay
+        self.starts_full = False
 
     def configure(self, accounts: abc.Iterable[account.Account]) -> None:
         """Create or update the buckets of a configuration's accounts."""
@@ -81,7 +84,11 @@
                 client_account.name,
                 fleet_bucket.FleetBucket(),
             )
-            bucket.configure(self.with_tolerance(client_account), fleet_time)
+            bucket.configure(
+                self.with_tolerance(client_account),
+                fleet_time,
+                starts_full=self.starts_full,
+            )
 
     def with_tolerance(
         self, client_account: account.Account
--- a/sapphirepaddle/limits/fleet_bucket.py
+++ b/sapphirepaddle/limits/fleet_bucket.py
@@ -40,16 +40,28 @@
     )
 
     def configure(
-        self, client_account: account.Account, fleet_time: float
+        self,
+        client_account: account.Account,
+        fleet_time: float,
+        *,
+        starts_full: bool = False,
     ) -> None:
         """Set rate and burst, keeping the tokens already used.
 
+        What was admitted before this daemon started is not known to it, nor to
+        anybody if all daemons were killed. So its bucket starts empty with
+        the daemon, as if the burst had just been used, and refills since then.
+
         Args:
             client_account: The account with its new rate and burst.
-            fleet_time: Seconds of fleet time.
+            fleet_time: Seconds of fleet time since the start of the daemon.
+            starts_full: Whether nothing was admitted before the start.
         """
         if math.isinf(self.updated_at):
-            self.tokens = client_account.burst
+            accrued = math.inf if starts_full else fleet_time
+            self.tokens = min(
+                client_account.burst, accrued * client_account.rate
+            )
             self.updated_at = fleet_time
         else:
             self.refill(fleet_time)
--- a/sapphirepaddle/limits/fleet_retry_budget.py
+++ b/sapphirepaddle/limits/fleet_retry_budget.py
@@ -18,9 +18,10 @@
 The rest covers daemons without recent reports and delays of the reports.
 """
 STARTUP_SLACK_RATIO: typing.Final = 0.25
-"""Fraction of the slack that a daemon assumes in its first window.
+"""Fraction of the slack that a daemon assumes at the end of its first window.
 
-It has no counts of the retries before its start.
+It has no counts of the retries before its start, and may have been restarted
+several times in the window, so the fraction accrues from 0.
 """
 UNREPORTED_SECONDS: typing.Final = 1.5
 """Time in which the retries of a daemon may not have reached all others. Below
@@ -100,7 +101,8 @@
     span. Without recent reports, a daemon has its local share of the slack.
 
     A daemon that has just started does not know the earlier retries. For the
-    length of one window it uses only STARTUP_SLACK_RATIO of the slack.
+    length of one window it uses only STARTUP_SLACK_RATIO of the slack, which
+    accrues in that time.
 
     Attributes:
         bounds: Ratio, slack and window.
@@ -163,8 +165,9 @@
             Whether the retry is allowed.
         """
         slack = self.bounds.repeat_slack
-        if now - self.started_at < self.bounds.repeat_window:
-            slack *= STARTUP_SLACK_RATIO
+        window_share = (now - self.started_at) / self.bounds.repeat_window
+        if window_share < 1:
+            slack *= STARTUP_SLACK_RATIO * window_share
         if has_recent_reports:
             is_allowed = self.is_within_share(
                 now, daemon_count, slack * SHARED_SLACK_RATIO
--- a/sapphirepaddle/platform/settings_file.py
+++ b/sapphirepaddle/platform/settings_file.py
@@ -77,6 +77,7 @@
         memory_bytes=int(model.limits.memory_mb * BYTES_PER_MEBIBYTE),
         bounds=read_bounds(model.bounds),
         regions=model.zones,
+        is_first_start=model.bootstrap,
     )
 
 
--- a/sapphirepaddle/platform/settings_model.py
+++ b/sapphirepaddle/platform/settings_model.py
@@ -45,6 +45,7 @@
         alias='internalPorts'
     )
     seeds: list[AddressText] = []
+    bootstrap: bool = False
     bounds: list[BoundText] = []
     zones: dict[str, str] = {}
     listen: ListenModel
--- a/sapphirepaddle/settings/edge.py
+++ b/sapphirepaddle/settings/edge.py
@@ -68,6 +68,7 @@
         memory_bytes: Memory limit of the process in bytes.
         bounds: Limits agreed with the operators.
         regions: Region of each availability zone.
+        is_first_start: Whether no daemon of the fleet has run before.
     """
 
     vm: str
@@ -82,3 +83,4 @@
     memory_bytes: int
     bounds: Bounds
     regions: abc.Mapping[str, str] = dataclasses.field(default_factory=dict)
+    is_first_start: bool = False
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -32,7 +32,8 @@
             selects it.
         started_at: When the daemon was last started, in seconds on the
             monotonic clock.
-        settings_path: Path of the settings.
+        settings_path: Path of the settings, which are written at each start.
+        settings_text: The settings that are the same at each start.
     """
 
     def __init__(
@@ -43,7 +44,7 @@
         store_port: int,
         prelude: str,
     ) -> None:
-        """Write the settings of the daemon.
+        """Prepare the settings of the daemon.
 
         Args:
             number: Number of the VM.
@@ -66,7 +67,7 @@
             f'{zone} = "r"' for zone in testbed_settings.ZONES
         )
         bound_list = ', '.join(f'"{text}"' for text in testbed_settings.BOUNDS)
-        self.settings_path.write_text(
+        self.settings_text = (
             f'node = "{self.name}"\nip = "{self.host}"\n'
             f'zone = "{self.zone}"\n'
             f'internalPorts = [{PEER_PORT}, {PEER_PORT + 10}]\n'
@@ -76,7 +77,7 @@
             f'front = "{self.host}:{CALLERS_PORT}"\n'
             f'ready = "{self.host}:{READY_PORT}"\n'
             f'[limits]\nmemoryMb = {MEMORY_MB}\n[platformStore]\n'
-            f'address = "127.0.0.1:{store_port}"\n',
+            f'address = "127.0.0.1:{store_port}"\n'
         )
 
     @property
@@ -84,8 +85,15 @@
         """Return whether a load balancer would send callers to the daemon."""
         return self.process is not None and not self.is_leaving
 
-    def start(self) -> None:
-        """Start the daemon and append its output to the log."""
+    def start(self, *, is_first_start: bool = False) -> None:
+        """Start the daemon and append its output to the log.
+
+        Args:
+            is_first_start: Whether no daemon of the fleet has run before.
+        """
+        self.settings_path.write_text(
+            f'bootstrap = {str(is_first_start).lower()}\n{self.settings_text}'
+        )
         log = (self.folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
             [sys.executable, '-c', f'{self.prelude}\n{LAUNCH_CODE}'],
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -101,7 +101,7 @@
             )
             self.store_relays[daemon.name] = store_relay
             self.daemons[daemon.name] = daemon
-            daemon.start()
+            daemon.start(is_first_start=True)
         for daemon in self.daemons.values():
             await self.wait_until_ready(daemon)
 
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -4,6 +4,7 @@
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import source
+from sapphirepaddle.settings import edge
 from tests.support import edge_daemon_case, platform_objects, scripted_target
 
 request = edge_daemon_case.request
@@ -235,6 +236,52 @@
             await self.wait_until(lambda: target.result_count > 0)
 
 
+class TestQuotaAfterRestart(edge_daemon_case.EdgeDaemonCase):
+    """The burst of an account must not be granted once more by a restart.
+
+    What was admitted is in the memory of the daemons, which are all killed.
+    """
+
+    bounds = edge.Bounds(stop=3, quota_slack=0, quota_excess=0)
+    configuration = platform_objects.configuration(
+        tenants=[
+            {
+                'name': 'first',
+                'apiKeys': [platform_objects.FIRST_KEY],
+                'ratePerS': 0.1,
+                'burst': 6,
+            }
+        ]
+    )
+
+    async def count_admitted(self) -> int:
+        """Send ten requests to each daemon; return how many are served."""
+        statuses = [
+            (
+                await self.send_raw(
+                    peer,
+                    edge_daemon_case.request(
+                        '/reads/x', f'{id(peer)}-{number}'
+                    ),
+                )
+            ).status
+            for peer in self.daemons
+            for number in range(10)
+        ]
+        return statuses.count(200)
+
+    async def test_burst_is_granted_once(self) -> None:
+        await self.add_target('t-1', 'reads')
+        await self.start_daemon(1)
+        self.assertEqual(await self.count_admitted(), 6)
+        self.is_first_start = False
+        for _ in range(3):
+            self.running_tasks.pop()[1].cancel()
+            await self.daemons.pop().close_sockets()
+            await self.start_daemon(1)
+            self.assertLessEqual(await self.count_admitted(), 1)
+
+
 class TestStop(edge_daemon_case.EdgeDaemonCase):
     """A stopping daemon must not lose a request.
 
--- a/tests/limits/test_fleet_bucket.py
+++ b/tests/limits/test_fleet_bucket.py
@@ -38,6 +38,20 @@
         )
 
     def test_starts_full(self) -> None:
+        bucket = fleet_bucket.FleetBucket()
+        bucket.configure(make_account(5, 10), 0, starts_full=True)
+        admitted = sum(bucket.admit(0, 1) for _ in range(20))
+        self.assertEqual(admitted, 10)
+
+    def test_burst_is_not_granted_again_by_a_new_daemon(self) -> None:
+        # All daemons may have been killed just after the burst was used.
+        bucket = fleet_bucket.FleetBucket()
+        bucket.configure(make_account(5, 10), 0.1)
+        admitted = sum(bucket.admit(0.1, 1) for _ in range(20))
+        self.assertEqual(admitted, 0)
+        self.assertEqual(sum(bucket.admit(1.1, 1) for _ in range(20)), 5)
+
+    def test_account_that_is_new_in_a_running_fleet_starts_full(self) -> None:
         self.assertEqual(self.admit(100, 20), 10)
 
     def test_refills_at_its_rate(self) -> None:
--- a/tests/limits/test_fleet_retry_budget.py
+++ b/tests/limits/test_fleet_retry_budget.py
@@ -110,6 +110,16 @@
             total += self.acquire_all(budget, 1, has_recent_reports=True)
         self.assertLessEqual(total, 0.2 * 200 + 50)
 
+    def test_repeated_restarts_stay_within_the_bound(self) -> None:
+        # Each start granted a part of the slack at once.
+        total = 0
+        for started_at in (STARTED_AT, 100, 102, 104, 106):
+            budget = fleet_retry_budget.FleetRetryBudget(BOUNDS, started_at)
+            now = max(100, started_at + 2)
+            while budget.try_acquire(now, 1, has_recent_reports=True):
+                total += 1
+        self.assertLessEqual(total, 50)
+
     def test_local_and_pooled_slack_together_stay_within_the_bound(
         self,
     ) -> None:
--- a/tests/limits/test_quota_at_scale.py
+++ b/tests/limits/test_quota_at_scale.py
@@ -82,6 +82,7 @@
             BOUNDS, lambda: self.now, lambda: 1, lambda name: None
         )
         quotas.rng = self.rng
+        quotas.starts_full = True
         quotas.read_report_delay = lambda: fleet.HUB_REPORT_SECONDS
         quotas.configure(
             [
--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -289,6 +289,14 @@
         '    lambda self: -math.inf\n'
         ')',
     ),
+    Mutation(
+        'edge: a restart grants no burst',
+        'edge.test_daemon.TestQuotaAfterRestart',
+        'from sapphirepaddle.limits import account_quotas\n'
+        'account_quotas.AccountQuotas.starts_full = property(\n'
+        '    lambda self: True, lambda self, value: None\n'
+        ')',
+    ),
     Mutation(
         'edge: a watch begins at the oldest page of a list',
         'platform.test_object_source.TestObjectSource.'
--- a/tests/support/edge_daemon_case.py
+++ b/tests/support/edge_daemon_case.py
@@ -43,6 +43,7 @@
         configuration: Configuration written before the test.
         bounds: Bounds in the settings of the daemons.
         memory_bytes: Memory limit in the settings of the daemons.
+        is_first_start: Whether no daemon of the fleet has run before.
         network: Loopback addresses that no other test uses.
         source: Source of the configuration and the registered targets.
         daemons: Running daemons.
@@ -53,6 +54,7 @@
     configuration = platform_objects.configuration()
     bounds = SHORT_STOP
     memory_bytes = 600000
+    is_first_start = True
 
     async def asyncSetUp(self) -> None:
         """Write the configuration to a new source."""
@@ -117,6 +119,7 @@
             seeds=(f'{self.network.prefix}.0.1',),
             memory_bytes=self.memory_bytes,
             bounds=self.bounds,
+            is_first_start=self.is_first_start,
         )
         platform = adapter.PlatformAdapter(settings.source_address)
         platform.source = self.source
--- a/tests/support/pooling_case.py
+++ b/tests/support/pooling_case.py
@@ -110,6 +110,7 @@
             local_fleet.in_touch_ratio,
             lambda name: exchange.record_admission(name),
         )
+        quotas.starts_full = True
         exchange = count_exchange.CountExchange(
             local_directory, quotas, local_fleet
         )
