paddle-entry: the loss of the VM that asks is no partition

In a fleet of two VMs in one availability zone, the death of the one that reads the platform makes the other refuse all keys, until it reads the platform itself 8 to 12 s later.

Cause: a VM counted as partitioned after 3 s without an answer of the platform, also when it had made no call. With one watcher in each zone, the other VMs make none.

Change: a VM that may be partitioned asks at once, and counts as partitioned only if its own call has had no answer for 0.5 s.

Ruled out: more watchers in each zone; all of them may die together.

--- a/sapphirepaddle/fleet/watcher.py
+++ b/sapphirepaddle/fleet/watcher.py
@@ -30,6 +30,8 @@
 silent."""
 
 MAX_SILENT_INTERVALS: typing.Final = 4
+DOUBT_CHECK_SECONDS: typing.Final = 0.25
+"""Interval between checks whether this daemon may be cut off."""
 Handler = abc.Callable[[stored_object.StoredObject], None]
 
 
@@ -110,11 +112,12 @@
 
         A daemon that is not a watcher reads it if the platform answered
         neither this daemon nor its peers for `MAX_SILENT_INTERVALS` list
-        intervals.
+        intervals, or if it may be cut off.
         """
-        if self.is_watcher():
+        now = clock.monotonic()
+        if self.is_watcher() or self.platform_contact.is_in_doubt(now):
             return True
-        age = self.platform_contact.platform_age(clock.monotonic())
+        age = self.platform_contact.platform_age(now)
         return age > self.settings.list_seconds * MAX_SILENT_INTERVALS
 
     async def start(self) -> None:
@@ -133,7 +136,19 @@
         while True:
             if self.should_read():
                 await self.call_platform(self.read_vm_list())
-            await asyncio.sleep(self.pause_seconds())
+            await self.pause()
+
+    async def pause(self) -> None:
+        """Wait until the next read of the list of VMs.
+
+        A daemon that may be cut off reads it at once.
+        """
+        ends_at = clock.monotonic() + self.pause_seconds()
+        while True:
+            now = clock.monotonic()
+            if now >= ends_at or self.platform_contact.must_ask(now):
+                return
+            await asyncio.sleep(min(DOUBT_CHECK_SECONDS, ends_at - now))
 
     def pause_seconds(self) -> float:
         """Return the seconds between two reads of the list of VMs."""
@@ -154,6 +169,7 @@
         call: abc.Coroutine[typing.Any, typing.Any, None],
     ) -> None:
         """Await a call; record an outage and pause if it fails."""
+        self.platform_contact.record_platform_call(clock.monotonic())
         try:
             await call
         except errors.PlatformError as error:
