A daemon that starts takes the tokens of accounts over from its peers

What callers saw: with buckets that start empty, a daemon that restarts alone refuses bursts within the quota for up to burst / rate seconds.

Cause: its peers know what is left, but did not tell it.

Change: the daemons that it asks for an introduction, the seeds and two of its zone, send the tokens of up to 120 accounts. It takes the lowest that it hears over in its first 3 s. A daemon that started less than 10 s ago and took none over tells nothing, so after the death of all daemons buckets stay empty and refill.

Ruled out: the tokens in each digest, which would cost bytes all the time.

--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -245,6 +245,7 @@
         self.count_exchange.digest_receiver.register_names(
             client_account.name for client_account in new_configuration.accounts
         )
+        self.count_exchange.quota_exchange.apply_received()
         self.count_exchange.digest_receiver.register_names(
             new_configuration.services
         )
--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -1,6 +1,7 @@
 """Registers this daemon in the member list and discovers the others."""
 
 import asyncio
+import random
 import typing
 
 from sapphirepaddle import errors
@@ -11,6 +12,8 @@
 
 REGISTER_RETRY_SECONDS: typing.Final = 1.0
 """Pause after a failed registration."""
+ASKED_NEIGHBOURS: typing.Final = 2
+"""Number of daemons of its zone that a daemon asks beside the seeds."""
 REFRESH_INTERVAL_SECONDS: typing.Final = 20.0
 """Interval between reads of the member list, which find daemons whose
 introductions were lost."""
@@ -54,6 +57,7 @@
         )
         while not await self.register():
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        self.ask_neighbours()
         for pause_seconds in FIRST_REFRESH_SECONDS:
             await asyncio.sleep(pause_seconds)
             await self.refresh_members(is_stale_allowed=True)
@@ -62,6 +66,16 @@
             self.count_exchange.fleet.remove_silent()
             await self.ensure_registered()
 
+    def ask_neighbours(self) -> None:
+        """Ask some daemons of the zone for what they tell one that starts.
+
+        The seeds may be down.
+        """
+        hosts = self.count_exchange.fleet.same_zone_hosts()
+        self.count_exchange.introduction_exchange.request_introductions(
+            random.sample(hosts, min(ASKED_NEIGHBOURS, len(hosts)))
+        )
+
     async def ensure_registered(self) -> None:
         """Read the list and write this daemon's entry if it is missing."""
         if (
--- a/sapphirepaddle/limits/account_quotas.py
+++ b/sapphirepaddle/limits/account_quotas.py
@@ -151,6 +151,16 @@
             bucket.refill(fleet_time)
             bucket.record_peer_admissions(count, fleet_time)
 
+    def adopt(self, name: str, tokens: float) -> None:
+        """Take over the tokens of an account from another daemon."""
+        self.buckets[name].adopt(tokens, self.read_fleet_time())
+
+    def read_tokens(self, name: str) -> float:
+        """Return the tokens left of an account."""
+        bucket = self.buckets[name]
+        bucket.refill(self.read_fleet_time())
+        return bucket.tokens
+
     def read_used_accounts(self) -> set[str]:
         """Update and return the names of the used accounts."""
         fleet_time = self.read_fleet_time()
--- a/sapphirepaddle/limits/fleet_bucket.py
+++ b/sapphirepaddle/limits/fleet_bucket.py
@@ -25,6 +25,7 @@
         admitted: Requests admitted by this daemon since its start.
         unreported: Estimates the admissions that peers have not reported yet.
         order: Order of the requests by urgency.
+        has_adopted: Whether the tokens were taken over from another daemon.
     """
 
     rate: float = 0
@@ -38,6 +39,7 @@
     order: quota_order.QuotaOrder = dataclasses.field(
         default_factory=quota_order.QuotaOrder
     )
+    has_adopted: bool = False
 
     def configure(
         self,
@@ -69,6 +71,20 @@
         self.rate = client_account.rate
         self.burst = client_account.burst
 
+    def adopt(self, tokens: float, fleet_time: float) -> None:
+        """Take over the tokens that another daemon knows to be left.
+
+        Of several daemons the one that knows of most admissions is right.
+
+        Args:
+            tokens: Tokens left.
+            fleet_time: Seconds of fleet time.
+        """
+        self.refill(fleet_time)
+        limit = self.tokens if self.has_adopted else self.burst
+        self.tokens = min(tokens, limit)
+        self.has_adopted = True
+
     def refill(self, fleet_time: float) -> None:
         """Add the tokens accrued since the last update.
 
--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -21,6 +21,7 @@
     leaving_exchange,
     notices,
     peer_totals,
+    quota_exchange,
     unsent_changes,
 )
 from sapphirepaddle.routing import candidate
@@ -60,6 +61,7 @@
         digest_bundler: Digests that this daemon forwards as a hub.
         introduction_exchange: Introduces this daemon to others.
         leaving_exchange: Reports targets that state that they leave.
+        quota_exchange: Tells daemons that start the tokens of accounts.
         digest_receiver: Applies the digests of other daemons.
         is_leaving: Whether this daemon is shutting down.
         read_contact_ages: Returns the ages of the contact with the source.
@@ -98,6 +100,10 @@
         self.leaving_exchange = leaving_exchange.LeavingExchange(
             peer_fleet, self.digest_receiver, self.transmit
         )
+        self.quota_exchange = quota_exchange.QuotaExchange(
+            quotas, self.digest_receiver, self.transmit
+        )
+        self.introduction_exchange.on_asked = self.quota_exchange.send_levels
         self.is_leaving = False
         self.read_contact_ages: abc.Callable[[], contact.ContactAges] = (
             long_contact
@@ -368,6 +374,7 @@
             digest.LeavingNotice: self.leaving_exchange.handle_notice,
             notices.ColdNotice: self.cold_exchange.handle_notice,
             notices.ZoneState: self.on_zone_state,
+            notices.QuotaLevels: self.quota_exchange.handle_levels,
         }
 
     def handle_digest(self, body: digest.Digest, host: str) -> None:
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -77,6 +77,15 @@
   targets @0 :List(ColdTarget);
 }
 
+struct AccountLevel {
+  account @0 :UInt32;
+  tokens @1 :Float32;
+}
+
+struct QuotaLevels {
+  levels @0 :List(AccountLevel);
+}
+
 struct RegistrationChange {
   name @0 :Text;
   content @1 :Data;
@@ -98,6 +107,7 @@
     changes @4 :RegistrationChanges;
     zones @5 :ZoneState;
     cold @6 :ColdNotice;
+    quotas @7 :QuotaLevels;
   }
 }
 
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -219,6 +219,7 @@
     | RegistrationChanges
     | notices.ZoneState
     | notices.ColdNotice
+    | notices.QuotaLevels
 )
 
 
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -153,6 +153,7 @@
     'changes': read_changes,
     'zones': notice_codec.read_zone_state,
     'cold': notice_codec.read_cold_notice,
+    'quotas': notice_codec.read_quota_levels,
 }
 KIND_BY_TYPE: typing.Final[dict[type, str]] = {  # noqa: WPS407
     digest.Digest: 'digest',
@@ -161,6 +162,7 @@
     digest.RegistrationChanges: 'changes',
     notices.ZoneState: 'zones',
     notices.ColdNotice: 'cold',
+    notices.QuotaLevels: 'quotas',
 }
 MESSAGE_TYPES: typing.Final = (
     digest.TargetCount,
@@ -174,6 +176,8 @@
     notices.ZoneState,
     notices.ColdTarget,
     notices.ColdNotice,
+    notices.AccountLevel,
+    notices.QuotaLevels,
     digest.RegistrationChange,
     digest.RegistrationChanges,
     digest.Hello,
--- a/sapphirepaddle/peers/introduction_exchange.py
+++ b/sapphirepaddle/peers/introduction_exchange.py
@@ -15,12 +15,15 @@
     Attributes:
         fleet: The known daemons.
         transmit: Sends a datagram to a list of hosts.
+        on_asked: Called with the host of a daemon that starts and asked for an
+            introduction.
     """
 
     def __init__(self, peer_fleet: fleet.Fleet, transmit: Transmit) -> None:
         """Initialize with the fleet and the function that sends datagrams."""
         self.fleet = peer_fleet
         self.transmit = transmit
+        self.on_asked: abc.Callable[[str], None] = ignore_host
 
     def request_introductions(self, hosts: abc.Sequence[str]) -> None:
         """Introduce this daemon to hosts, which answer with theirs."""
@@ -60,3 +63,8 @@
                 self.fleet.local_member, is_answer=True
             )
             self.transmit(reply, (hello.host,))
+            self.on_asked(hello.host)
+
+
+def ignore_host(_host: str) -> None:
+    """Do nothing: by default a daemon that starts is told nothing more."""
--- a/sapphirepaddle/peers/notice_codec.py
+++ b/sapphirepaddle/peers/notice_codec.py
@@ -1,4 +1,4 @@
-"""Decoding of notices about zones and cold targets; performs no I/O."""
+"""Decoding of notices about zones, cold targets and quotas; no I/O."""
 
 import typing
 
@@ -29,3 +29,13 @@
             for target in reader.targets
         )
     )
+
+
+def read_quota_levels(reader: typing.Any) -> notices.QuotaLevels:
+    """Return the levels held by a Cap'n Proto reader."""
+    return notices.QuotaLevels(
+        tuple(
+            notices.AccountLevel(level.account, level.tokens)
+            for level in reader.levels
+        )
+    )
--- a/sapphirepaddle/peers/notices.py
+++ b/sapphirepaddle/peers/notices.py
@@ -1,4 +1,4 @@
-"""Messages about emptied availability zones and targets that turned cold."""
+"""Messages about emptied zones, targets that turned cold, and quotas."""
 
 import dataclasses
 import typing
@@ -61,3 +61,27 @@
     """
 
     targets: tuple[ColdTarget, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountLevel:
+    """Tokens left of a client account.
+
+    Attributes:
+        account: Hash of the account's name.
+        tokens: Tokens in its bucket; negative in debt.
+    """
+
+    account: int
+    tokens: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaLevels:
+    """Tokens left of client accounts, for a daemon that starts.
+
+    Attributes:
+        levels: The accounts, those in use first.
+    """
+
+    levels: tuple[AccountLevel, ...]
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -4,6 +4,7 @@
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import source
+from sapphirepaddle.edge import daemon
 from sapphirepaddle.settings import edge
 from tests.support import edge_daemon_case, platform_objects, scripted_target
 
@@ -254,22 +255,47 @@
         ]
     )
 
-    async def count_admitted(self) -> int:
-        """Send ten requests to each daemon; return how many are served."""
+    async def count_admitted(
+        self, count: int = 10, peer: daemon.EdgeDaemon | None = None
+    ) -> int:
+        """Send requests to a daemon, the first one by default.
+
+        Returns:
+            How many are served.
+        """
+        called = peer or self.daemons[0]
         statuses = [
             (
                 await self.send_raw(
-                    peer,
+                    called,
                     edge_daemon_case.request(
-                        '/reads/x', f'{id(peer)}-{number}'
+                        '/reads/x', f'{id(called)}-{number}'
                     ),
                 )
             ).status
-            for peer in self.daemons
-            for number in range(10)
+            for number in range(count)
         ]
         return statuses.count(200)
 
+    async def test_daemon_that_restarts_alone_knows_what_is_left(self) -> None:
+        await self.add_target('t-1', 'reads')
+        for number in (1, 2):
+            await self.start_daemon(number)
+        await self.wait_until(
+            lambda: all(
+                peer.components.fleet.size == 2 for peer in self.daemons
+            )
+        )
+        lost = self.daemons.pop()
+        self.running_tasks.pop()[1].cancel()
+        await lost.close_sockets()
+        self.assertEqual(await self.count_admitted(2), 2)
+        self.is_first_start = False
+        restarted = await self.start_daemon(2)
+        exchange = restarted.components.count_exchange.quota_exchange
+        await self.wait_until(lambda: exchange.has_adopted)
+        self.assertEqual(await self.count_admitted(10, restarted), 4)
+
     async def test_burst_is_granted_once(self) -> None:
         await self.add_target('t-1', 'reads')
         await self.start_daemon(1)
