Buckets: plain start of the tokens; sort only the accounts in use

Cause: an infinite time was multiplied by the rate, which may be 0, and the names of all accounts were compared with a list. No change of behaviour; the tests of both pass.

--- a/sapphirepaddle/limits/fleet_bucket.py
+++ b/sapphirepaddle/limits/fleet_bucket.py
@@ -60,10 +60,10 @@
             starts_full: Whether nothing was admitted before the start.
         """
         if math.isinf(self.updated_at):
-            accrued = math.inf if starts_full else fleet_time
-            self.tokens = min(
-                client_account.burst, accrued * client_account.rate
-            )
+            self.tokens = client_account.burst
+            if not starts_full:
+                accrued_tokens = fleet_time * client_account.rate
+                self.tokens = min(client_account.burst, accrued_tokens)
             self.updated_at = fleet_time
         else:
             self.refill(fleet_time)
--- a/sapphirepaddle/peers/quota_exchange.py
+++ b/sapphirepaddle/peers/quota_exchange.py
@@ -52,14 +52,14 @@
         """Tell a daemon the tokens that are left, if they are known here."""
         if not self.knows_levels():
             return
-        used = sorted(self.quotas.read_used_accounts())
+        used = self.quotas.read_used_accounts()
         others = (name for name in self.quotas.buckets if name not in used)
         levels = tuple(
             notices.AccountLevel(
                 digest.hash_name(name), self.quotas.read_tokens(name)
             )
             for name in itertools.islice(
-                itertools.chain(used, others), MAX_LEVELS
+                itertools.chain(sorted(used), others), MAX_LEVELS
             )
         )
         if levels:
