Buckets start with the tokens of the time of a start

What callers saw: with buckets that start quite empty, requests within their quota were refused for a second after the death of all daemons, and the less urgent ones for seconds.

Ruled out: the reserve for daemons out of touch (the share was 1 in all lines), and restarts in turn, which take tokens over from others and refused nothing.

Change: half a second of the rate is credited at the start, at least one token; no refusal before the burst would be refilled counts as a flood. Tokens that are taken over are reduced by the daemon's own admissions.

--- a/sapphirepaddle/limits/fleet_bucket.py
+++ b/sapphirepaddle/limits/fleet_bucket.py
@@ -2,10 +2,18 @@
 
 import dataclasses
 import math
+import typing
 
 from sapphirepaddle.directory import account
 from sapphirepaddle.limits import quota_order, unreported_admissions
 
+START_SECONDS: typing.Final = 0.5
+"""Least time from the end of a process to the start of its successor, which has
+to load its modules before it is started as a daemon."""
+MIN_START_TOKENS: typing.Final = 1
+"""Tokens of an account at the start at least, so that one with a low rate does
+not wait for its first request."""
+
 
 @dataclasses.dataclass(slots=True)
 class FleetBucket:
@@ -26,6 +34,8 @@
         unreported: Estimates the admissions that peers have not reported yet.
         order: Order of the requests by urgency.
         has_adopted: Whether the tokens were taken over from another daemon.
+        settled_at: Fleet time from which a refusal shows that the account asks
+            for more than its quota.
     """
 
     rate: float = 0
@@ -40,6 +50,7 @@
         default_factory=quota_order.QuotaOrder
     )
     has_adopted: bool = False
+    settled_at: float = -math.inf
 
     def configure(
         self,
@@ -62,8 +73,7 @@
         if math.isinf(self.updated_at):
             self.tokens = client_account.burst
             if not starts_full:
-                accrued_tokens = fleet_time * client_account.rate
-                self.tokens = min(client_account.burst, accrued_tokens)
+                self.start_empty(client_account, fleet_time)
             self.updated_at = fleet_time
         else:
             self.refill(fleet_time)
@@ -71,10 +81,26 @@
         self.rate = client_account.rate
         self.burst = client_account.burst
 
+    def start_empty(
+        self, client_account: account.Account, fleet_time: float
+    ) -> None:
+        """Set the tokens that have accrued since the last admission.
+
+        It was START_SECONDS before the start of this daemon, or longer. Until
+        a used burst would be refilled, a refusal does not show that the
+        account asks for more than its quota.
+        """
+        rate = client_account.rate
+        accrued = max(MIN_START_TOKENS, (START_SECONDS + fleet_time) * rate)
+        self.tokens = min(client_account.burst, accrued)
+        if rate:
+            self.settled_at = client_account.burst / rate
+
     def adopt(self, tokens: float, fleet_time: float) -> None:
         """Take over the tokens that another daemon knows to be left.
 
-        Of several daemons the one that knows of most admissions is right.
+        Of several daemons the one that knows of most admissions is right. None
+        may know those of this daemon yet.
 
         Args:
             tokens: Tokens left.
@@ -82,8 +108,9 @@
         """
         self.refill(fleet_time)
         limit = self.tokens if self.has_adopted else self.burst
-        self.tokens = min(tokens, limit)
+        self.tokens = min(tokens - self.admitted, limit)
         self.has_adopted = True
+        self.settled_at = -math.inf
 
     def refill(self, fleet_time: float) -> None:
         """Add the tokens accrued since the last update.
@@ -126,7 +153,7 @@
         available = self.tokens - max(reserved, expected)
         if available < 1:
             self.unreported.record_refusal(fleet_time)
-            self.order.is_needed = True
+            self.order.is_needed = fleet_time >= self.settled_at
             return False
         if self.tokens >= self.burst * quota_order.RECOVERED_SHARE:
             self.order.is_needed = False
