The first start of a fleet has the whole slack for retries

What callers saw: nothing yet.

Cause: the slack that accrues from the start of a daemon also bound the first start of a fleet, before which nobody can have retried.

Change: with settings that state the first start, the whole slack is there at once, like the burst of an account. After a restart it accrues; what the requests allow is not affected.

--- a/sapphirepaddle/directory/directory.py
+++ b/sapphirepaddle/directory/directory.py
@@ -39,7 +39,8 @@
         zone: Availability zone of this daemon.
         bounds: Limits promised to operators.
         regions: Region of each availability zone.
-        started_at: Monotonic time when the daemon started, in seconds.
+        started_at: Monotonic time when the daemon started, in seconds; -inf if
+            no daemon of the fleet had run before.
         configuration: Current configuration; None until one has been applied.
         targets_by_service: Targets by service name.
         retry_budgets: Retry budgets by service name.
--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -1,5 +1,6 @@
 """Creates and connects the components of an edge daemon."""
 
+import math
 import time
 import typing
 from collections import abc
@@ -103,6 +104,8 @@
             lambda name: self.count_exchange.record_admission(name),
         )
         self.quotas.starts_full = settings.is_first_start
+        if settings.is_first_start:
+            self.directory.started_at = -math.inf
         self.quotas.read_report_delay = self.fleet.report_delay_seconds
         self.directory.read_zone_size = self.fleet.local_zone_size
         self.count_exchange = count_exchange.CountExchange(
