Soak: lists of the store have several pages

Cause: fleets of the soak fit into one page, so that no run could change an object between two pages of a list (docs/incidents/change-between-pages.md). Change: pages of three objects.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -71,6 +71,7 @@
         self.network = network.LoopbackNetwork()
         self.source = memory_source.MemorySource()
         self.store = object_store.ObjectStoreStandin(self.source)
+        self.store.page_objects = testbed_settings.PAGE_OBJECTS
         self.daemons: dict[str, processes.EdgeProcess] = {}
         self.store_relays: dict[str, relay.Relay] = {}
         self.targets: dict[str, target.Target] = {}
--- a/soak/testbed_settings.py
+++ b/soak/testbed_settings.py
@@ -13,6 +13,8 @@
 HOST: typing.Final = 'soak.example'
 APPLY_SECONDS: typing.Final = 2.0
 """Time within which a daemon applies a configuration."""
+PAGE_OBJECTS: typing.Final = 3
+"""Objects in one page of a list, so that each list has several pages."""
 ZONES: typing.Final = ('a', 'b', 'c')
 BOUNDS: typing.Final = (
     'graceS=6',
