--- a/review/bed3.py
+++ b/review/bed3.py
@@ -424,6 +424,7 @@
         self.work_seconds = 0.02
         self.born = int(time.time() * 1000)
         self.state = 'ready'
+        self.is_leaving = False
 
     def entry(self) -> Fields:
         """Return what the instance registers."""
@@ -462,6 +463,8 @@
         self.running += 1
         await asyncio.sleep(self.work_seconds)
         self.running -= 1
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
         stamp = f'{self.name}.{len(self.runs)}'
         return encode_answer(
             200, headers | {'X-Response-Stamp': stamp}, request_id.encode()
@@ -470,12 +473,18 @@
 
 @dataclasses.dataclass
 class Reply:
-    """What a client got for a request; status 0 for no complete answer."""
+    """What a client got for a request; status 0 for no complete answer.
+
+    Attributes:
+        is_leaving: Whether the answer bears Server-Leaving.
+    """
 
     sent_at: float
     request_id: str
     daemon: str
     status: int
+    answered_at: float = 0
+    is_leaving: bool = False
 
 
 class Bed:
@@ -623,20 +632,21 @@
         }
         request = encode_message(f'{method} {path} HTTP/1.1', headers, b'')
         sent_at = self.record.now()
-        status = 0
         try:
             answer = await exchange(
                 self.hosts[daemon], FRONT_PORT, request, 2.5
             )
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             answer = None
+        reply = Reply(sent_at, request_id, daemon, 0, self.record.now())
         if answer is not None:
-            status = answer.status
-        reply = Reply(sent_at, request_id, daemon, status)
+            reply.status = answer.status
+            reply.is_leaving = 'server-leaving' in answer.headers
         self.replies.append(reply)
         self.record.write(
             f'request: {request_id} {method} {path} key {key} sent at'
-            f' {sent_at:.3f} to {daemon}: status {status}'
+            f' {sent_at:.3f} to {daemon}: status {reply.status}'
+            f'{", Server-Leaving" if reply.is_leaving else ""}'
         )
         return reply
 
