--- a/review/bed3.py
+++ b/review/bed3.py
@@ -24,13 +24,11 @@
 from urllib import parse as urls
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-FRONT_PORT = 8388
-READY_PORT = 8384
-CONTROL_PORT = 8381
-STORE_PORT = 8382
-INSTANCE_PORT = 8080
 METRICS_PORT = 9464
-INTERNAL_PORTS = (7560, 7575)
+COULD_NOT_RUN = 2
+"""Exit status of a case that could not run."""
+PORTS = 20
+"""Number of consecutive ports that a case uses."""
 HISTORY_SECONDS = 20
 HEARTBEAT_SECONDS = 1.5
 MAX_CASE_SECONDS = 110
@@ -72,6 +70,32 @@
     """The case could not run."""
 
 
+def find_network() -> tuple[int, int]:
+    """Return the second byte of a loopback network, and its first free port.
+
+    Ports are the same on all addresses of a case. That of the metrics is fixed.
+    """
+    for network in random.sample(range(16, 250), 50):
+        first_port = random.randrange(20000, 30000, PORTS)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for port in (METRICS_PORT, *range(first_port, first_port + PORTS)):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    trial = stack.enter_context(
+                        socket.socket(socket.AF_INET, kind)
+                    )
+                    trial.bind((f'127.{network}.0.10', port))
+            return network, first_port
+    print('the case could not run: no free network', file=sys.stderr)
+    sys.exit(COULD_NOT_RUN)
+
+
+NETWORK, FRONT_PORT = find_network()
+READY_PORT = FRONT_PORT + 1
+STORE_PORT = FRONT_PORT + 2
+INSTANCE_PORT = FRONT_PORT + 3
+INTERNAL_PORTS = (FRONT_PORT + 4, FRONT_PORT + PORTS - 1)
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
@@ -491,9 +515,8 @@
     """Store, instances and daemons of one case."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        """Choose a free loopback network."""
+        """Initialize without instances and daemons."""
         self.record = Record(folder)
-        self.network = find_network()
         self.store = Store(self.address(1, 1), self.record)
         self.instances: list[Instance] = []
         self.runs: list[Run] = []
@@ -504,7 +527,7 @@
 
     def address(self, group: int, number: int) -> str:
         """Return an address of the network."""
-        return f'127.{self.network}.{group}.{number}'
+        return f'127.{NETWORK}.{group}.{number}'
 
     async def add_instance(self, service: str, zone: str) -> Instance:
         """Start an instance; it isn't registered yet."""
@@ -678,18 +701,6 @@
             writer.close()
 
 
-def find_network() -> int:
-    """Return the second byte of a loopback network with free ports."""
-    for network in random.sample(range(16, 250), 50):
-        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
-            for number in range(10, 20):
-                for port in (FRONT_PORT, READY_PORT, METRICS_PORT):
-                    listener = stack.enter_context(socket.socket())
-                    listener.bind((f'127.{network}.0.{number}', port))
-            return network
-    raise CaseError('no free loopback network')
-
-
 def service_fields(name: str) -> Fields:
     """Return a service of a configuration."""
     return {
@@ -775,4 +786,4 @@
         return 0 if asyncio.run(play_in_time()) else 1
     except Exception as error:
         print(f'the case could not run: {error!r}', file=sys.stderr)
-        return 2
+        return COULD_NOT_RUN
