--- a/sapphirepaddle/directory/fingerprint.py
+++ b/sapphirepaddle/directory/fingerprint.py
@@ -21,14 +21,19 @@
     def update(self, target: registration.Registration) -> None:
         """Add a registration, replacing an earlier one of the same target."""
         self.remove(target.name)
-        text = (
-            f'{target.name} {target.host}:{target.port} {target.service} '
-            f'{target.incarnation} {target.is_draining}'
-        )
-        registration_hash = xxhash.xxh32_intdigest(text.encode())
+        registration_hash = hash_registration(target)
         self.hashes[target.name] = registration_hash
         self.combined_hash ^= registration_hash
 
     def remove(self, name: str) -> None:
         """Remove a registration; an unknown name is ignored."""
         self.combined_hash ^= self.hashes.pop(name, 0)
+
+
+def hash_registration(target: registration.Registration) -> int:
+    """Return the 32-bit hash of a registration."""
+    text = (
+        f'{target.name} {target.host}:{target.port} {target.service} '
+        f'{target.incarnation} {target.is_draining}'
+    )
+    return xxhash.xxh32_intdigest(text.encode())
--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -4,7 +4,7 @@
 import typing
 
 from sapphirepaddle import errors
-from sapphirepaddle.directory import source
+from sapphirepaddle.directory import revisions, source
 
 CALL_TIMEOUT_SECONDS: typing.Final = 1.0
 """Time beyond its wait after which a call that is not answered fails."""
@@ -14,17 +14,17 @@
     """Source that keeps its objects in memory, with simulated faults.
 
     Attributes:
-        revision: Revision of the last change.
+        number: Revision number of the last change.
+        served_era: Era that answers state; 0 for none.
         objects: Object contents by kind and name.
-        changes: History of all changes as (revision, kind, entry).
-        oldest_watch_revision: Oldest revision that a watch can start from.
+        changes: History of all changes as (number, kind, entry).
+        oldest_watch_number: Oldest number that a watch can start from.
         is_unavailable: Whether calls fail, to simulate an outage.
         is_silent: Whether new calls are never answered, to simulate another
             kind of outage.
         silent_kind: Kind of objects for which new calls are never answered.
         unanswered_calls: Number of calls that were never answered.
         changed: Condition notified at each change.
-        calls: Number of calls made.
         fresh_calls: Number of calls that did not allow a stale answer.
         stale_revision: Last revision that calls which allow a stale answer
             see; None for the newest.
@@ -32,18 +32,24 @@
 
     def __init__(self) -> None:
         """Initialize without objects."""
-        self.revision = 1
+        super().__init__()
+        self.number = 1
+        self.served_era = 0
         self.objects: dict[str, dict[str, source.Content]] = {}
         self.changes: list[tuple[int, str, source.Entry]] = []
-        self.oldest_watch_revision = 0
+        self.oldest_watch_number = 0
         self.is_unavailable = False
         self.is_silent = False
         self.silent_kind = ''
         self.unanswered_calls = 0
         self.changed = asyncio.Condition()
-        self.calls = 0
         self.fresh_calls = 0
-        self.stale_revision: int | None = None
+        self.stale_revision: revisions.Revision | None = None
+
+    @property
+    def revision(self) -> revisions.Revision:
+        """Return the revision of the last change."""
+        return revisions.Revision(self.served_era, self.number)
 
     def record_call(self, is_stale_allowed: bool = False) -> None:
         """Count a call and fail it during a simulated outage.
@@ -62,6 +68,14 @@
         is_stale_allowed: bool,
     ) -> source.ReadResult:
         """Return all objects of a kind."""
+        read_result = await self.serve_list(kind, is_stale_allowed)
+        self.check_era(read_result.revision)
+        return read_result
+
+    async def serve_list(
+        self, kind: str, is_stale_allowed: bool
+    ) -> source.ReadResult:
+        """Return all objects of a kind, whatever era the caller knows."""
         self.record_call(is_stale_allowed)
         if self.is_silent or kind == self.silent_kind:
             await self.leave_unanswered(0)
@@ -71,11 +85,24 @@
         entries = [source.Entry(*pair) for pair in content_by_name.items()]
         return source.ReadResult(self.revision, entries)
 
-    def list_at_revision(self, kind: str, revision: int) -> source.ReadResult:
+    def check_era(self, revision: revisions.Revision) -> None:
+        """Learn the era of an answer, and refuse one of an older era.
+
+        Raises:
+            OutdatedAnswerError: If a newer era is known.
+        """
+        if revision.era:
+            self.era.learn(revision.era, 'source')
+        if self.era.has_passed(revision):
+            raise errors.OutdatedAnswerError('memory')
+
+    def list_at_revision(
+        self, kind: str, revision: revisions.Revision
+    ) -> source.ReadResult:
         """Return all objects of a kind as of a revision."""
         latest_entries = {
             entry.name: entry
-            for entry in self.changes_between(kind, 0, revision)
+            for entry in self.changes_between(kind, 0, revision.number)
         }
         entries = [
             entry
@@ -87,15 +114,27 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: revisions.Revision,
         seconds: float,
         is_stale_allowed: bool,
     ) -> source.ReadResult:
         """Wait for changes after a revision; no entries after the timeout."""
+        read_result = await self.serve_watch(
+            kind, revision.number, seconds, is_stale_allowed
+        )
+        self.check_era(read_result.revision)
+        if self.era.has_passed(revision):
+            raise errors.HistoryLostError(kind)
+        return read_result
+
+    async def serve_watch(
+        self, kind: str, number: int, seconds: float, is_stale_allowed: bool
+    ) -> source.ReadResult:
+        """Wait for changes after a number, whatever era the caller knows."""
         self.record_call(is_stale_allowed)
         if self.is_silent or kind == self.silent_kind:
             await self.leave_unanswered(seconds)
-        if revision < self.oldest_watch_revision:
+        if not self.oldest_watch_number <= number <= self.number:
             raise errors.HistoryLostError(kind)
         async with self.changed:
             try:
@@ -104,18 +143,21 @@
                         lambda: bool(
                             self.changes_between(
                                 kind,
-                                revision,
-                                self.visible_revision(is_stale_allowed),
+                                number,
+                                self.visible_revision(is_stale_allowed).number,
                             ),
                         ),
                     )
             except TimeoutError:
-                return source.ReadResult(revision, [])
+                return source.ReadResult(
+                    revisions.Revision(self.served_era, number), []
+                )
         if self.is_unavailable:
             raise errors.SourceError('away')
         last_revision = self.visible_revision(is_stale_allowed)
         return source.ReadResult(
-            last_revision, self.changes_between(kind, revision, last_revision)
+            last_revision,
+            self.changes_between(kind, number, last_revision.number),
         )
 
     async def leave_unanswered(self, seconds: float) -> typing.NoReturn:
@@ -128,7 +170,7 @@
         await asyncio.sleep(seconds + CALL_TIMEOUT_SECONDS)
         raise errors.SourceError('no answer')
 
-    def visible_revision(self, is_stale_allowed: bool) -> int:
+    def visible_revision(self, is_stale_allowed: bool) -> revisions.Revision:
         """Return the newest revision that a call may see."""
         if is_stale_allowed and self.stale_revision is not None:
             return self.stale_revision
@@ -137,20 +179,20 @@
     def changes_between(
         self,
         kind: str,
-        after_revision: int,
-        last_revision: int,
+        after_number: int,
+        last_number: int,
     ) -> list[source.Entry]:
         """Return the changes of a kind between two revisions.
 
         Args:
             kind: Kind of object.
-            after_revision: Revision before the first change, exclusive.
-            last_revision: Revision of the last change, inclusive.
+            after_number: Number before the first change, exclusive.
+            last_number: Number of the last change, inclusive.
         """
         return [
             entry
-            for change_revision, changed_kind, entry in self.changes
-            if after_revision < change_revision <= last_revision
+            for change_number, changed_kind, entry in self.changes
+            if after_number < change_number <= last_number
             and changed_kind == kind
         ]
 
@@ -171,12 +213,31 @@
             content_by_name.pop(entry.name, None)
         else:
             content_by_name[entry.name] = entry.content
-        self.revision += 1
-        self.changes.append((self.revision, kind, entry))
+        self.number += 1
+        self.changes.append((self.number, kind, entry))
         async with self.changed:
             self.changed.notify_all()
 
     def drop_history(self) -> None:
         """Discard the history, so that watches from older revisions fail."""
-        self.revision += 2
-        self.oldest_watch_revision = self.revision - 1
+        self.number += 2
+        self.oldest_watch_number = self.number - 1
+
+    async def return_from_copy(self, number: int) -> None:
+        """Continue from the copy at a number, in a new era.
+
+        What was written since is lost, and its numbers are given out again.
+        """
+        self.number = number
+        self.changes = [
+            change for change in self.changes if change[0] <= number
+        ]
+        self.objects = {}
+        for _, kind, entry in self.changes:
+            content_by_name = self.objects.setdefault(kind, {})
+            content_by_name.pop(entry.name, None)
+            if entry.content is not None:
+                content_by_name[entry.name] = entry.content
+        self.served_era += 1
+        async with self.changed:
+            self.changed.notify_all()
--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -8,7 +8,7 @@
 from collections import abc
 
 from sapphirepaddle import clock, errors
-from sapphirepaddle.directory import source
+from sapphirepaddle.directory import revisions, source
 from sapphirepaddle.telemetry import logs
 
 WATCH_SECONDS: typing.Final = 20.0
@@ -46,6 +46,12 @@
 ROLE_CHECK_SECONDS: typing.Final = 0.25
 """Interval at which a daemon that makes no calls checks whether it has become a
 reader."""
+RELAY_WAIT_SECONDS: typing.Final = (1.2, 2.0)
+"""Range of the time for which a daemon that is no reader waits for what readers
+relay from a new era of the source. Each daemon draws from it, so that those to
+which nothing was relayed do not list at the same time."""
+OUTDATED_PAUSE_SECONDS: typing.Final = 0.5
+"""Pause after an answer of an older era of the source."""
 MAX_PROBER_WAIT_SECONDS: typing.Final = 5.0
 """Maximum wait for the watcher that probes the source for both."""
 
@@ -72,6 +78,24 @@
     must_probe: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Reliance:
+    """What a daemon that is no reader leaves to the readers.
+
+    Attributes:
+        is_led_by_readers: Whether it makes no calls after its first list,
+            which may be stale, because the readers tell it all that they know.
+        relay_wait_seconds: Time for which it waits for what they relay from a
+            new era of the source before it lists.
+        is_stale_list_sound: Whether its list of a new era may be stale, as
+            what such a list lacks or reverts is known to be older.
+    """
+
+    is_led_by_readers: bool = False
+    relay_wait_seconds: float = 0
+    is_stale_list_sound: bool = False
+
+
 class ObjectWatcher:
     """Keeps the objects of one kind up to date.
 
@@ -84,7 +108,8 @@
         kind: Kind of the objects.
         on_full_list: Called with all objects after a full list was read.
         on_changes: Called with the changed objects.
-        revision: Last revision read completely; 0 if a full list must be read.
+        revision: Last revision read completely; NOTHING_READ if a full list
+            must be read.
         seen_revision: Newest revision of which some part was read.
         consecutive_failures: Number of failed calls since the last success.
         unavailable_since: Monotonic time of the first failed call of an
@@ -101,9 +126,7 @@
         is_reader: Returns whether this daemon is a reader.
         batch_seconds: Pause after a change on a daemon that is no reader.
         reader_watch_seconds: Maximum wait of one watch call on a reader.
-        is_led_by_readers: Whether a daemon that is no reader makes no calls
-            after its first list, which may be stale, because the readers tell
-            it all that they know.
+        reliance: What a daemon that is no reader leaves to readers.
         call_started_at: Monotonic time at which the last watch call was made.
         refresh_requested: Event that is set until a fresh call was answered.
         next_call: What the next call must do.
@@ -124,8 +147,9 @@
         self.kind = kind
         self.on_full_list = on_full_list
         self.on_changes = on_changes
-        self.revision = 0
-        self.seen_revision = 0
+        object_source.era.on_return.append(self.replace_call)
+        self.revision = revisions.NOTHING_READ
+        self.seen_revision = revisions.NOTHING_READ
         self.consecutive_failures = 0
         self.unavailable_since: float | None = None
         self.contact_since: float | None = None
@@ -138,7 +162,7 @@
         self.on_recovered: abc.Callable[[], None] = ignore_contact_change
         self.batch_seconds = BATCH_PAUSE_SECONDS
         self.reader_watch_seconds = WATCH_SECONDS
-        self.is_led_by_readers = False
+        self.reliance = Reliance()
         self.call_started_at: float = 0
         self.refresh_requested = asyncio.Event()
         self.next_call = NextCall()
@@ -148,29 +172,63 @@
     async def run(self) -> None:
         """Watch the source until cancelled."""
         while True:
-            if (
-                self.is_led_by_readers
-                and self.revision
-                and not self.refresh_requested.is_set()
-                and not self.is_reader()
-            ):
+            if self.is_resting():
                 await asyncio.sleep(ROLE_CHECK_SECONDS)
                 continue
             try:
                 await self.poll_once()
             except errors.HistoryLostError:
-                self.logger.info('history lost', revision=self.revision)
-                self.skip_to(0)
+                self.handle_lost_history()
+            except errors.OutdatedAnswerError:
+                await asyncio.sleep(OUTDATED_PAUSE_SECONDS)
             except errors.SourceError as error:
                 await self.handle_failure(error)
 
+    def is_resting(self) -> bool:
+        """Return whether this daemon leaves all calls to readers for now."""
+        if (
+            not self.revision
+            or self.refresh_requested.is_set()
+            or self.is_reader()
+        ):
+            return False
+        if self.reliance.is_led_by_readers:
+            return True
+        relay_ends_at = (
+            self.source.era.returned_at + self.reliance.relay_wait_seconds
+        )
+        return self.is_of_older_era() and clock.monotonic() < relay_ends_at
+
+    def is_of_older_era(self) -> bool:
+        """Return whether the source has returned from an older copy since.
+
+        What it has changed is not known then: the numbers that follow the
+        revision may have been given out again.
+        """
+        return self.source.era.has_passed(self.revision)
+
+    def handle_lost_history(self) -> None:
+        """Read a full list next.
+
+        The revision of an older era is kept, as it orders what peers relay.
+        """
+        self.logger.info(
+            'history lost',
+            era=self.revision.era,
+            revision=self.revision.number,
+            newest_era=self.source.era.number,
+        )
+        if not self.is_of_older_era():
+            self.skip_to(revisions.NOTHING_READ)
+
     async def poll_once(self) -> None:
         """Make one list or watch call and apply its result.
 
         A watch that ended in less than half of its time is followed by a
         pause even without changes, so that early answers cause no busy loop.
         """
-        if self.next_call.must_list or not self.revision:
+        must_list = self.next_call.must_list or not self.revision
+        if must_list or self.is_of_older_era():
             await self.read_all()
             return
         self.call_started_at = clock.monotonic()
@@ -268,10 +326,11 @@
         would revert changes that were already applied. Changes between the
         pages of a list are read at once by a fresh call.
         """
-        read_result = await self.source.list_all(
-            self.kind,
-            is_stale_allowed=self.is_led_by_readers and not self.is_reader(),
+        is_stale_allowed = not self.is_reader() and (
+            self.reliance.is_led_by_readers
+            or (self.reliance.is_stale_list_sound and bool(self.revision))
         )
+        read_result = await self.source.list_all(self.kind, is_stale_allowed)
         self.handle_success()
         self.next_call.must_list = False
         if read_result.revision < self.revision:
@@ -288,11 +347,14 @@
         self.next_call.must_list = True
         self.replace_call()
 
-    def skip_to(self, revision: int) -> None:
+    def skip_to(self, revision: revisions.Revision) -> None:
         """Continue from a revision whose objects were obtained elsewhere.
 
-        The answer to a pending call is ignored if it reflects an older one.
+        The answer to a pending call is ignored if it reflects an older one. A
+        call from a revision of an older era is replaced.
         """
+        if revision and self.is_of_older_era():
+            self.replace_call()
         self.revision = revision
         self.seen_revision = revision
 
@@ -334,7 +396,7 @@
             self.logger.warning(
                 'source unavailable',
                 reason=error.detail,
-                revision=self.revision,
+                revision=self.revision.number,
             )
             self.on_lost()
         self.consecutive_failures += 1
--- a/sapphirepaddle/directory/source.py
+++ b/sapphirepaddle/directory/source.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+from sapphirepaddle.directory import revisions, source_era
+
 Content = dict[str, typing.Any]
 
 
@@ -29,25 +31,30 @@
             which a watch misses nothing.
         entries: All objects of a list, or the changes of a watch.
         newest_revision: Revision that some part of a list reflects, if it was
-            read in several parts and a newer one than the whole; 0 otherwise.
+            read in several parts and a newer one than the whole.
     """
 
-    revision: int
+    revision: revisions.Revision
     entries: list[Entry]
-    newest_revision: int = 0
+    newest_revision: revisions.Revision = revisions.NOTHING_READ
 
 
 class Source(abc.ABC):
     """Store of objects by kind and name.
 
     All calls raise SourceError if the source does not answer or refuses the
-    call.
+    call, and OutdatedAnswerError if the answer is of an older era than one
+    that is known; such an answer is not used.
 
     Attributes:
         calls: Number of calls made.
+        era: Newest known era, learned from each answer.
     """
 
-    calls = 0
+    def __init__(self) -> None:
+        """Initialize without calls and without a known era."""
+        self.calls = 0
+        self.era = source_era.SourceEra()
 
     @abc.abstractmethod
     async def list_all(self, kind: str, is_stale_allowed: bool) -> ReadResult:
@@ -62,7 +69,7 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: revisions.Revision,
         seconds: float,
         is_stale_allowed: bool,
     ) -> ReadResult:
@@ -77,7 +84,8 @@
 
         Raises:
             HistoryLostError: If the source no longer keeps the changes since
-                the revision.
+                the revision, or has returned from an older copy, which does
+                not have that history.
         """
 
     @abc.abstractmethod
--- a/sapphirepaddle/directory/target_list.py
+++ b/sapphirepaddle/directory/target_list.py
@@ -10,6 +10,7 @@
     fingerprint,
     registration,
     source,
+    source_era,
 )
 from sapphirepaddle.telemetry import logs
 
@@ -29,7 +30,8 @@
 
     An entry may expire during an outage of the source because its target could
     not renew it. Such a target is kept for a grace period after the recovery,
-    in which it can register again.
+    in which it can register again. The same holds for an entry that the source
+    has lost because it returned from an older copy.
 
     Attributes:
         directory: Directory whose targets are updated.
@@ -43,6 +45,7 @@
         pending_check: Timer of the next check; None if nothing is pending.
         deferred_count: Number of removals deferred since the start.
         fingerprint: Hash of the listed registrations.
+        era: Newest known era of the source.
         logger: Logger for malformed entries and deferred removals.
     """
 
@@ -51,6 +54,7 @@
         target_directory: directory.Directory,
         decode: TargetDecoder,
         read_returned_at: abc.Callable[[], float],
+        era: source_era.SourceEra | None = None,
     ) -> None:
         """Initialize without targets."""
         self.directory = target_directory
@@ -60,6 +64,7 @@
         self.pending_check: asyncio.TimerHandle | None = None
         self.deferred_count = 0
         self.fingerprint = fingerprint.Fingerprint()
+        self.era = era or source_era.SourceEra()
         self.logger = logs.get_logger('targets')
 
     def apply_all(self, entries: list[source.Entry]) -> None:
@@ -72,6 +77,29 @@
             self.remove_or_defer(name)
         self.directory.has_targets = True
 
+    def differences(self, entries: list[source.Entry]) -> list[source.Entry]:
+        """Return the changes that turn the listed state into a full list."""
+        hashes = self.fingerprint.hashes
+        listed_names = {entry.name for entry in entries}
+        removals = [
+            source.Entry(name, None) for name in hashes.keys() - listed_names
+        ]
+        changes = [
+            entry
+            for entry in entries
+            if self.entry_hash(entry) != hashes.get(entry.name)
+        ]
+        return removals + changes
+
+    def entry_hash(self, entry: source.Entry) -> int | None:
+        """Return the hash of an entry; None for one that names no target."""
+        try:
+            return fingerprint.hash_registration(
+                self.decode(entry.name, entry.content or {})
+            )
+        except ValueError:
+            return None
+
     def apply_changes(self, entries: list[source.Entry]) -> None:
         """Apply changed and removed entries."""
         for entry in entries:
@@ -120,7 +148,8 @@
 
     def remaining_grace_seconds(self) -> float:
         """Return the seconds until missing entries count as gone for good."""
-        grace_ends_at = self.read_returned_at() + REREGISTRATION_GRACE_SECONDS
+        returned_at = max(self.read_returned_at(), self.era.returned_at)
+        grace_ends_at = returned_at + REREGISTRATION_GRACE_SECONDS
         return grace_ends_at - clock.monotonic()
 
     def schedule_check(self) -> None:
--- a/sapphirepaddle/edge/change_relay.py
+++ b/sapphirepaddle/edge/change_relay.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from sapphirepaddle.directory import source
+from sapphirepaddle.directory import revisions, source
 from sapphirepaddle.peers import digest
 from sapphirepaddle.telemetry import logs
 
@@ -32,6 +32,7 @@
         on_revision: Called with the revision that they reflect after the last
             message of a call.
         transmit: Sends a datagram to the other daemons of the zone.
+        learn_era: Called with the revision of each relayed change.
         relayed_count: Number of changes applied that a reader had relayed.
         logger: Log of changes that were not relayed.
     """
@@ -39,9 +40,9 @@
     def __init__(
         self,
         read_fingerprint: abc.Callable[[], int],
-        read_revision: abc.Callable[[], int],
+        read_revision: abc.Callable[[], revisions.Revision],
         apply: abc.Callable[[Entries], None],
-        on_revision: abc.Callable[[int], None],
+        on_revision: abc.Callable[[revisions.Revision], None],
         transmit: Transmit,
     ) -> None:
         """Initialize with the access to the registrations of this daemon."""
@@ -50,10 +51,13 @@
         self.apply = apply
         self.on_revision = on_revision
         self.transmit = transmit
+        self.learn_era: abc.Callable[[revisions.Revision], None] = ignore_era
         self.relayed_count = 0
         self.logger = logs.get_logger('relay')
 
-    def apply_and_send(self, entries: Entries, revision: int) -> None:
+    def apply_and_send(
+        self, entries: Entries, revision: revisions.Revision
+    ) -> None:
         """Apply changes that this daemon has read, and relay them.
 
         Args:
@@ -62,24 +66,45 @@
         """
         parts = split_changes(entries)
         for number, part in enumerate(parts, 1):
-            base_fingerprint = self.read_fingerprint()
-            self.apply(part)
-            if base_fingerprint != self.read_fingerprint():
-                self.send(
-                    digest.RegistrationChanges(
-                        base_fingerprint=base_fingerprint,
-                        revision=revision,
-                        is_last=number == len(parts),
-                        changes=tuple(map(encode_change, part)),
-                    )
-                )
+            message = self.apply_part(part, revision, number == len(parts))
+            if message.base_fingerprint != self.read_fingerprint():
+                self.send(message)
+
+    def apply_and_send_era(
+        self, entries: Entries, revision: revisions.Revision
+    ) -> None:
+        """Apply and relay how a list of a new era differs from the last state.
+
+        It is relayed also if nothing differs, so that other daemons go on
+        from its revision.
+
+        Args:
+            entries: The differences.
+            revision: Revision of the source that the list reflects.
+        """
+        parts = split_changes(entries) or [[]]
+        for number, part in enumerate(parts, 1):
+            self.send(self.apply_part(part, revision, number == len(parts)))
+
+    def apply_part(
+        self, part: Entries, revision: revisions.Revision, is_last: bool
+    ) -> digest.RegistrationChanges:
+        """Apply a part of the changes of a call; return it as a message."""
+        base_fingerprint = self.read_fingerprint()
+        self.apply(part)
+        return digest.RegistrationChanges(
+            base_fingerprint=base_fingerprint,
+            revision=revision,
+            is_last=is_last,
+            changes=tuple(map(encode_change, part)),
+        )
 
     def send(self, message: digest.RegistrationChanges) -> None:
         """Send changes, unless they do not fit into a packet."""
         size = sum(len(change.content) for change in message.changes)
         if size > MAX_CHANGES_BYTES:
             self.logger.info(
-                'change too large to relay', revision=message.revision
+                'change too large to relay', revision=message.revision.number
             )
             return
         self.transmit(message)
@@ -89,6 +114,7 @@
 
         None do before the first list, although it may be empty there too.
         """
+        self.learn_era(message.revision)
         if (
             not self.read_revision()
             or message.base_fingerprint != self.read_fingerprint()
@@ -99,7 +125,7 @@
             entries = [decode_change(change) for change in message.changes]
         except ValueError:
             self.logger.warning(
-                'relayed change malformed', revision=message.revision
+                'relayed change malformed', revision=message.revision.number
             )
             return
         self.apply(entries)
@@ -108,6 +134,10 @@
             self.on_revision(message.revision)
 
 
+def ignore_era(_revision: revisions.Revision) -> None:
+    """Do nothing: by default eras of the source are ignored."""
+
+
 def split_changes(entries: Entries) -> list[Entries]:
     """Split changes into parts that fit into a packet, in order."""
     parts: list[Entries] = []
--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -192,6 +192,7 @@
     def read_gauges(self) -> dict[str, float]:
         """Return the gauge values by label."""
         answer_memory = self.attempt_runner.answer_memory
+        target_list = self.synchronizer.target_list
         return {
             'configuration_version': self.directory.version,
             'targets': len(self.directory.service_by_target),
@@ -199,7 +200,7 @@
             'requests_left_zone': self.directory.left_count(),
             'zones_emptied': len(self.directory.emptied_zones.names()),
             'changes_relayed': (self.synchronizer.change_relay.relayed_count),
-            'removals_deferred': (self.synchronizer.target_list.deferred_count),
+            'removals_deferred': target_list.deferred_count,
             'members': self.fleet.size,
             'share_in_touch': self.fleet.in_touch_ratio(),
             'requests_served_now': self.forwarder.active_requests,
@@ -211,6 +212,9 @@
             'answer_bytes_held': answer_memory.reserved_bytes,
             'answers_dropped_for_memory': answer_memory.reclaimed_count,
             'source_calls': self.platform.source.calls,
+            'source_returns': self.platform.source.era.return_count,
+            'source_answers_outdated': self.platform.source.era.outdated_count,
+            'targets_kept': len(target_list.pending_removals),
         }
 
     def readiness_page(self) -> tuple[int, bytes]:
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -13,6 +13,7 @@
     directory,
     object_watcher,
     platform_interface,
+    revisions,
     source,
     target_list,
 )
@@ -68,6 +69,7 @@
         reader_role: Decides whether this daemon reads for its zone.
         raw_configuration: The configuration as the source served it.
         raw_targets: Registrations by target as the source served them.
+        listed_revision: Revision of the last full list of them.
         zone_synchronizer: Keeps the emptied zones up to date.
         change_relay: Relays changed registrations within the zone.
         snapshot_exchange: Exchange of snapshots with peers.
@@ -111,6 +113,11 @@
         self.target_watcher.batch_seconds = (
             object_watcher.RELAYED_BATCH_PAUSE_SECONDS
         )
+        self.target_watcher.reliance.relay_wait_seconds = random.uniform(
+            *object_watcher.RELAY_WAIT_SECONDS
+        )
+        # The version of a configuration tells whether it is older.
+        self.configuration_watcher.reliance.is_stale_list_sound = True
         self.target_watcher.on_answer = self.outage_evidence.record_answer
         self.target_watcher.on_failed = self.outage_evidence.record_failure
         self.target_watcher.on_recovered = self.handle_recovery
@@ -119,6 +126,7 @@
             target_directory,
             platform.decode_target,
             self.outage_evidence.source_returned_at,
+            platform.source.era,
         )
         exchange.read_targets_fingerprint = self.targets_fingerprint
         self.reader_role = reader_role.ReaderRole(
@@ -140,9 +148,11 @@
             ),
         )
         exchange.on_registration_changes = self.change_relay.handle_changes
+        self.change_relay.learn_era = platform.source.era.learn_from_peer
         self.target_watcher.on_lost = self.reader_role.handle_loss
         self.raw_configuration: source.Content = {}
         self.raw_targets: dict[str, source.Content] = {}
+        self.listed_revision = revisions.NOTHING_READ
         self.snapshot_exchange = snapshot_exchange.SnapshotExchange(
             settings.snapshots,
             self.make_snapshot,
@@ -213,7 +223,18 @@
                 self.count_exchange.request_immediate_send()
 
     def apply_all_targets(self, entries: list[source.Entry]) -> None:
-        """Replace all registrations by a complete list."""
+        """Replace all registrations by a complete list.
+
+        A reader relays the first list of a new era, as differences.
+        """
+        is_new_era = bool(self.listed_revision) and (
+            self.platform.source.era.has_passed(self.listed_revision)
+        )
+        self.listed_revision = self.target_watcher.revision
+        if is_new_era and self.reader_role.is_reader():
+            self.change_relay.apply_and_send_era(
+                self.target_list.differences(entries), self.listed_revision
+            )
         self.raw_targets = {}
         self.store_raw_targets(entries)
         self.target_list.apply_all(entries)
@@ -292,10 +313,7 @@
 
     def lag_seconds(self) -> float:
         """Return for how long peers have had a newer configuration."""
-        if (
-            self.count_exchange.digest_receiver.newest_version
-            <= self.directory.version
-        ):
+        if not self.count_exchange.digest_receiver.knows_newer_version():
             self.behind_since = None
             return 0
         now = clock.monotonic()
@@ -352,13 +370,15 @@
             notices.ZoneState(snapshot.zones_revision, snapshot.zones),
             'snapshot',
         )
+        self.platform.source.era.learn_from_peer(snapshot.targets_revision)
         self.apply_snapshot_targets(snapshot)
 
     def apply_snapshot_targets(self, snapshot: digest.Snapshot) -> None:
         """Apply the targets of a peer if they are newer than the local ones.
 
         The watch continues from their revision. While the source answers,
-        only the first targets are taken from a peer.
+        only the first targets are taken from a peer; those of an older era
+        never are.
         """
         targets = orjson.loads(snapshot.targets or b'{}')
         is_unavailable = self.target_watcher.unavailable_since is not None
@@ -367,6 +387,9 @@
             return
         if self.directory.has_targets and not (is_unavailable and is_newer):
             return
+        if self.platform.source.era.has_passed(snapshot.targets_revision):
+            self.logger.info('snapshot of an older era ignored')
+            return
         entries = [source.Entry(*pair) for pair in targets.items()]
         self.target_watcher.skip_to(snapshot.targets_revision)
         self.apply_all_targets(entries)
@@ -376,8 +399,8 @@
 
         A read that gets no answer is repeated: a short silence of the source
         may have swallowed it. The snapshot of a peer is fetched if the source
-        does not answer, or if the target watcher found out before that it does
-        not.
+        does not answer or does not have the configuration, or if the target
+        watcher found out before that it does not answer.
         """
         self.logger.info(
             'configuration older than that of peers',
@@ -424,5 +447,5 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(NEWER_CONFIGURATION_SECONDS):
                     await self.fetch_snapshot(host)
-            if receiver.newest_version <= self.directory.version:
+            if not self.count_exchange.digest_receiver.knows_newer_version():
                 return
--- a/sapphirepaddle/edge/zone_synchronizer.py
+++ b/sapphirepaddle/edge/zone_synchronizer.py
@@ -1,5 +1,6 @@
 """Keeps the emptied availability zones up to date, from source or peers."""
 
+import asyncio
 import math
 import typing
 
@@ -10,7 +11,10 @@
     directory,
     object_watcher,
     platform_interface,
+    revisions,
     source,
+    source_era,
+    target_list,
 )
 from sapphirepaddle.edge import reader_role
 from sapphirepaddle.peers import count_exchange, notices
@@ -43,6 +47,9 @@
         count_exchange: Sends the state of the zones to other daemons.
         reader_role: Decides whether this daemon reads for its zone.
         watcher: Watches the entries that empty zones.
+        era: Newest known era of the source.
+        kept_zones: Zones that were emptied when the source returned from an
+            older copy, which may not have them until operators write again.
         revision: Revision of the source that the emptied zones reflect.
         changed_at: Monotonic time of the last change.
         replied_at: Monotonic time of the last reply, by hash of a peer's name.
@@ -65,13 +72,16 @@
             self.apply_all,
             self.apply_changes,
         )
-        self.watcher.is_led_by_readers = True
+        self.watcher.reliance.is_led_by_readers = True
         if target_directory.bounds.empty_zone:
             role.add_watcher(
                 self.watcher,
                 (FIRST_READER_SECONDS, object_watcher.WATCH_SECONDS),
             )
-        self.revision = 0
+        self.era: source_era.SourceEra = platform.source.era
+        self.era.on_return.append(self.keep_zones)
+        self.kept_zones: frozenset[str] = frozenset()
+        self.revision = revisions.NOTHING_READ
         self.changed_at = -math.inf
         self.replied_at: dict[int, float] = {}
         exchange.read_zones_mark = self.read_mark
@@ -90,7 +100,26 @@
         get no requests at once.
         """
         names = {entry.name for entry in entries}
-        self.apply_read(dict.fromkeys(names, math.inf))
+        self.apply_read(dict.fromkeys(names | self.kept_zones, math.inf))
+
+    def keep_zones(self) -> None:
+        """Keep the zones emptied for a grace period after a return."""
+        self.kept_zones = self.directory.emptied_zones.names()
+        if self.kept_zones:
+            asyncio.get_running_loop().call_later(
+                target_list.REREGISTRATION_GRACE_SECONDS, self.end_grace
+            )
+
+    def end_grace(self) -> None:
+        """Read on a reader which zones are emptied without those kept."""
+        grace_ends_at = (
+            self.era.returned_at + target_list.REREGISTRATION_GRACE_SECONDS
+        )
+        if clock.monotonic() < grace_ends_at:
+            return
+        self.kept_zones = frozenset()
+        if self.reader_role.is_reader():
+            self.watcher.request_list()
 
     def apply_changes(self, entries: list[source.Entry]) -> None:
         """Apply changed entries; the content of an entry does not matter."""
@@ -164,6 +193,7 @@
             message: The state.
             learned_from: How it arrived, to log.
         """
+        self.era.learn_from_peer(message.revision)
         if message.revision <= self.revision:
             return
         self.revision = message.revision
--- a/sapphirepaddle/errors.py
+++ b/sapphirepaddle/errors.py
@@ -96,5 +96,9 @@
     """The changes since a revision are gone; a full read is needed."""
 
 
+class OutdatedAnswerError(SourceError):
+    """An answer is of an older era of the source than one already known."""
+
+
 class TargetError(PaddleError):
     """A target returned no complete answer to a request."""
--- a/sapphirepaddle/peers/digest.capnp
+++ b/sapphirepaddle/peers/digest.capnp
@@ -1,7 +1,8 @@
 @0xb6e1f0a94d3c7a51;
 
 # Datagrams between daemons, and the snapshots that they fetch over TCP. Counts
-# name targets, accounts, services and daemons by 32-bit hashes.
+# name targets, accounts, services and daemons by 32-bit hashes. A revision
+# belongs to the era beside it; an era of 0 is unknown.
 
 struct TargetCount {
   target @0 :UInt32;
@@ -65,6 +66,7 @@
   revision @0 :UInt64;
   zones @1 :List(EmptiedZone);
   isForwarded @2 :Bool;
+  era @3 :UInt32;
 }
 
 struct ColdTarget {
@@ -96,6 +98,7 @@
   revision @1 :UInt64;
   isLast @2 :Bool;
   changes @3 :List(RegistrationChange);
+  era @4 :UInt32;
 }
 
 struct Datagram {
@@ -118,4 +121,6 @@
   targetsRevision @3 :UInt64;
   zones @4 :List(EmptiedZone);
   zonesRevision @5 :UInt64;
+  targetsEra @6 :UInt32;
+  zonesEra @7 :UInt32;
 }
--- a/sapphirepaddle/peers/digest.py
+++ b/sapphirepaddle/peers/digest.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from sapphirepaddle.directory import revisions
 from sapphirepaddle.peers import notices
 
 MAX_AGE_TENTHS: typing.Final = 65535
@@ -162,7 +163,7 @@
     """
 
     base_fingerprint: int
-    revision: int
+    revision: revisions.Revision
     is_last: bool
     changes: tuple[RegistrationChange, ...]
 
@@ -197,18 +198,18 @@
         targets: Encoded registrations by name.
         members: Introductions of the known daemons.
         targets_revision: Revision of the source that the registrations
-            reflect; 0 if unknown.
+            reflect; NOTHING_READ if unknown.
         zones: The emptied zones.
-        zones_revision: Revision of the source that these reflect; 0 if
-            unknown.
+        zones_revision: Revision of the source that these reflect;
+            NOTHING_READ if unknown.
     """
 
     configuration: bytes
     targets: bytes
     members: tuple[Hello, ...]
-    targets_revision: int
+    targets_revision: revisions.Revision
     zones: tuple[notices.EmptiedZone, ...] = ()
-    zones_revision: int = 0
+    zones_revision: revisions.Revision = revisions.NOTHING_READ
 
 
 Body = (
--- a/sapphirepaddle/peers/digest_codec.py
+++ b/sapphirepaddle/peers/digest_codec.py
@@ -8,6 +8,7 @@
 import capnp
 
 from sapphirepaddle import codes, errors
+from sapphirepaddle.directory import revisions
 from sapphirepaddle.peers import digest, notice_codec, notices
 
 SCHEMA: typing.Final = capnp.load(
@@ -29,7 +30,8 @@
         fields = to_plain_value(body.digests)
         return SCHEMA.Datagram.new_message(bundle=fields).to_bytes()
     kind = KIND_BY_TYPE[type(body)]
-    return SCHEMA.Datagram.new_message(**{kind: to_fields(body)}).to_bytes()
+    fields = to_fields(body) | to_revision_fields(body)
+    return SCHEMA.Datagram.new_message(**{kind: fields}).to_bytes()
 
 
 def to_fields(message: typing.Any) -> dict[str, typing.Any]:
@@ -40,6 +42,19 @@
     }
 
 
+def to_revision_fields(message: typing.Any) -> dict[str, int]:
+    """Return the numbers and eras of the revisions in a message."""
+    revision_by_name = {
+        schema_name: getattr(message, name)
+        for name, schema_name in REVISION_NAMES.get(type(message), ())
+    }
+    numbers = {name: held.number for name, held in revision_by_name.items()}
+    eras = {
+        ERA_NAMES[name]: held.era for name, held in revision_by_name.items()
+    }
+    return numbers | eras
+
+
 def to_plain_value(field_value: typing.Any) -> typing.Any:
     """Convert a field value to the form that Cap'n Proto accepts."""
     if isinstance(field_value, tuple):
@@ -112,7 +127,7 @@
     """Return the changes held by a Cap'n Proto reader."""
     return digest.RegistrationChanges(
         base_fingerprint=reader.baseFingerprint,
-        revision=reader.revision,
+        revision=revisions.Revision(reader.era, reader.revision),
         is_last=reader.isLast,
         changes=tuple(
             digest.RegistrationChange(change.name, bytes(change.content))
@@ -164,6 +179,12 @@
     notices.ColdNotice: 'cold',
     notices.QuotaLevels: 'quotas',
 }
+ERA_NAMES: typing.Final = {  # noqa: WPS407
+    'revision': 'era',
+    'targetsRevision': 'targetsEra',
+    'zonesRevision': 'zonesEra',
+}
+"""Names of the eras in the schema, by the names of their revisions."""
 MESSAGE_TYPES: typing.Final = (
     digest.TargetCount,
     digest.AccountCount,
@@ -183,7 +204,7 @@
     digest.Hello,
     digest.Snapshot,
 )
-SCHEMA_NAMES: typing.Final = {  # noqa: WPS407
+FIELD_NAMES: typing.Final = {  # noqa: WPS407
     message_type: tuple(
         (field.name, camel_case(field.name))
         for field in dataclasses.fields(message_type)
@@ -191,3 +212,15 @@
     for message_type in MESSAGE_TYPES
 }
 """Names of the fields in Python and in the schema, by type of message."""
+SCHEMA_NAMES: typing.Final = {  # noqa: WPS407
+    message_type: tuple(pair for pair in pairs if pair[1] not in ERA_NAMES)
+    for message_type, pairs in FIELD_NAMES.items()
+}
+"""Names of the fields that are no revisions."""
+REVISION_NAMES: typing.Final = {  # noqa: WPS407
+    message_type: revision_pairs
+    for message_type, pairs in FIELD_NAMES.items()
+    if (revision_pairs := tuple(pair for pair in pairs if pair[1] in ERA_NAMES))
+}
+"""Names of the fields that are revisions, which only whole datagrams and
+snapshots contain."""
--- a/sapphirepaddle/peers/digest_receiver.py
+++ b/sapphirepaddle/peers/digest_receiver.py
@@ -89,6 +89,10 @@
             self.apply_service_count(totals, service_count, now)
         self.on_zones_mark(body.sender, body.zones_mark)
 
+    def knows_newer_version(self) -> bool:
+        """Return whether another daemon has a newer configuration."""
+        return self.newest_version > self.directory.version
+
     def is_started_after_local(self, start: int) -> bool:
         """Return whether a daemon started no earlier than this one.
 
--- a/sapphirepaddle/peers/notice_codec.py
+++ b/sapphirepaddle/peers/notice_codec.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from sapphirepaddle.directory import revisions
 from sapphirepaddle.peers import notices
 
 
@@ -13,7 +14,7 @@
 def read_zone_state(reader: typing.Any) -> notices.ZoneState:
     """Return the state of the zones held by a Cap'n Proto reader."""
     return notices.ZoneState(
-        revision=reader.revision,
+        revision=revisions.Revision(reader.era, reader.revision),
         zones=read_zones(reader.zones),
         is_forwarded=reader.isForwarded,
     )
--- a/sapphirepaddle/peers/notices.py
+++ b/sapphirepaddle/peers/notices.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from sapphirepaddle.directory import revisions
+
 MAX_ZONE_AGE_MS: typing.Final = 3600000
 """Maximum of the age of an emptied zone, in milliseconds; it is longer than the
 load of any zone takes to move."""
@@ -32,7 +34,7 @@
         is_forwarded: Whether the receiver forwards it within its zone.
     """
 
-    revision: int
+    revision: revisions.Revision
     zones: tuple[EmptiedZone, ...]
     is_forwarded: bool = False
 
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store."""
 
 import asyncio
+import re
 import typing
 from collections import abc
 from urllib import parse as urls
@@ -8,9 +9,9 @@
 import orjson
 
 from sapphirepaddle import errors
-from sapphirepaddle.directory import source
+from sapphirepaddle.directory import revisions, source
 from sapphirepaddle.platform import names, object_parser
-from sapphirepaddle.proxy import http_client
+from sapphirepaddle.proxy import http_client, http_message
 from sapphirepaddle.telemetry import logs
 
 MILLISECONDS_PER_SECOND: typing.Final = 1000
@@ -24,6 +25,8 @@
 MAX_INLINE_BYTES: typing.Final = 65536
 """Size of an answer above which it is decoded in a thread."""
 REVISION_KEY: typing.Final = 'currentRev'
+ERA_HEADER: typing.Final = b'store-era'
+ERA: typing.Final = re.compile(b'[0-9]{1,9}')
 HTTP_OK: typing.Final = 200
 HTTP_NOT_FOUND: typing.Final = 404
 HTTP_CONFLICT: typing.Final = 409
@@ -35,14 +38,13 @@
 
     Attributes:
         http_client: Client that makes the calls.
-        calls: Number of calls made.
         logger: Log of items that have no name.
     """
 
     def __init__(self, client: http_client.HttpClient) -> None:
         """Initialize with an HTTP client for the store's address."""
+        super().__init__()
         self.http_client = client
-        self.calls = 0
         self.logger = logs.get_logger('source')
 
     async def list_all(
@@ -58,10 +60,12 @@
         Raises:
             SourceError: If a page that is not the last one names no object,
                 so that what follows it cannot be read.
+            HistoryLostError: If the store returned from an older copy between
+                two pages.
         """
         query = stale_query(is_stale_allowed)
         entries: list[source.Entry] = []
-        revisions: list[int] = []
+        page_revisions: list[revisions.Revision] = []
         while True:
             path = object_path(kind, query=query)
             answer = await self.call(
@@ -71,10 +75,14 @@
                 answer.get('items') or (), object_parser.read_entry
             )
             entries.extend(page)
-            revisions.append(read_revision(answer.get(REVISION_KEY)))
+            page_revisions.append(
+                self.era.position(read_revision(answer.get(REVISION_KEY)))
+            )
+            if self.era.has_passed(page_revisions[0]):
+                raise errors.HistoryLostError(path)
             if not answer.get('truncated'):
                 return source.ReadResult(
-                    min(revisions), entries, max(revisions)
+                    min(page_revisions), entries, max(page_revisions)
                 )
             if not page:
                 raise errors.SourceError('page of a list without names')
@@ -83,13 +91,13 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: revisions.Revision,
         seconds: float,
         is_stale_allowed: bool,
     ) -> source.ReadResult:
         """Wait for changes after a revision."""
         query = stale_query(is_stale_allowed) | {
-            'watch': str(revision),
+            'watch': str(revision.number),
             'waitMs': str(int(seconds * MILLISECONDS_PER_SECOND)),
         }
         answer = await self.call(
@@ -97,8 +105,12 @@
             object_path(kind, query=query),
             timeout_seconds=seconds + WATCH_GRACE_SECONDS,
         )
+        if self.era.has_passed(revision):
+            raise errors.HistoryLostError(kind)
         return source.ReadResult(
-            read_revision(answer.get(REVISION_KEY) or revision),
+            self.era.position(
+                read_revision(answer.get(REVISION_KEY) or revision.number)
+            ),
             self.read_entries(
                 answer.get('events') or (), object_parser.read_event
             ),
@@ -142,6 +154,8 @@
 
         Raises:
             SourceError: If the store does not answer or refuses.
+            OutdatedAnswerError: If the answer is of an older era than one
+                already known.
             HistoryLostError: If it no longer keeps the requested history.
             ConflictError: If the object to create exists.
         """
@@ -149,15 +163,39 @@
         answer = await self.http_client.call(
             method, path, body, timeout_seconds
         )
-        if answer.status == HTTP_GONE:
-            raise errors.HistoryLostError(path)
-        if answer.status == HTTP_CONFLICT:
-            raise ConflictError(path)
-        if answer.status == HTTP_NOT_FOUND and method == 'DELETE':
-            return {}
-        if answer.status // 100 != HTTP_OK // 100:
-            raise errors.SourceError(f'{method} {path}: status {answer.status}')
-        return await decode(bytes(answer.body))
+        era = read_era(answer)
+        if era is not None:
+            self.era.learn(era, 'source')
+        self.check_era(path, era)
+        content = await read_content(method, path, answer)
+        # A large answer is decoded in a thread, while others arrive.
+        self.check_era(path, era)
+        return content
+
+    def check_era(self, path: str, era: int | None) -> None:
+        """Check that an answer is of the newest era.
+
+        Raises:
+            OutdatedAnswerError: If it is of an older one.
+        """
+        if era is not None and self.era.has_ended(era):
+            self.era.record_outdated(path, era)
+            raise errors.OutdatedAnswerError(path)
+
+
+async def read_content(
+    method: str, path: str, answer: http_message.ReceivedAnswer
+) -> source.Content:
+    """Return the decoded body of an answer, or raise what its status says."""
+    if answer.status == HTTP_GONE:
+        raise errors.HistoryLostError(path)
+    if answer.status == HTTP_CONFLICT:
+        raise ConflictError(path)
+    if answer.status == HTTP_NOT_FOUND and method == 'DELETE':
+        return {}
+    if answer.status // 100 != HTTP_OK // 100:
+        raise errors.SourceError(f'{method} {path}: status {answer.status}')
+    return await decode(bytes(answer.body))
 
 
 class ConflictError(errors.SourceError):
@@ -176,6 +214,16 @@
         raise errors.SourceError('answer without a revision') from error
 
 
+def read_era(answer: http_message.ReceivedAnswer) -> int | None:
+    """Return the era that an answer states; None if it states no number."""
+    stated = [
+        text for name, text in answer.headers if name.lower() == ERA_HEADER
+    ]
+    if len(stated) != 1 or not ERA.fullmatch(stated[0]):
+        return None
+    return int(stated[0])
+
+
 async def decode(body: bytes) -> source.Content:
     """Decode a body that must be a JSON object; an empty body is {}.
 
--- a/sapphirepaddle/standins/object_store.py
+++ b/sapphirepaddle/standins/object_store.py
@@ -63,6 +63,14 @@
         await asyncio.sleep(self.faults.delay_seconds)
         if self.faults.is_silent:
             await asyncio.sleep(NO_ANSWER_SECONDS)
+        answered = await self.execute(received)
+        if self.source.served_era:
+            era = b'%d' % self.source.served_era
+            answered.headers.append((b'Store-Era', era))
+        return answered
+
+    async def execute(self, received: request.Request) -> answer.Answer:
+        """Execute one call of the object API."""
         if self.faults.is_refusing:
             return json_answer(UNAVAILABLE, {})
         parts = received.path.split('/')
@@ -81,7 +89,7 @@
         """Return one page of a list, or the changes after a revision."""
         if 'watch' in query:
             return await self.watch(kind, query)
-        read_result = await self.source.list_all(kind, accepts_stale(query))
+        read_result = await self.source.serve_list(kind, accepts_stale(query))
         after = query.get('after', '')
         remaining = sorted(
             (entry for entry in read_result.entries if entry.name > after),
@@ -93,7 +101,7 @@
             {
                 'items': [encode_object(entry) for entry in page],
                 'truncated': len(remaining) > len(page),
-                'currentRev': read_result.revision,
+                'currentRev': read_result.revision.number,
             },
         )
 
@@ -104,11 +112,8 @@
         """
         seconds = int(query['waitMs']) / MILLISECONDS_PER_SECOND
         try:
-            read_result = await self.source.watch(
-                kind,
-                int(query['watch']),
-                seconds,
-                accepts_stale(query),
+            read_result = await self.source.serve_watch(
+                kind, int(query['watch']), seconds, accepts_stale(query)
             )
         except errors.HistoryLostError:
             return json_answer(GONE, {})
@@ -117,7 +122,7 @@
             for entry in read_result.entries
         ]
         return json_answer(
-            OK, {'events': events, 'currentRev': read_result.revision}
+            OK, {'events': events, 'currentRev': read_result.revision.number}
         )
 
     async def change(
--- a/tests/directory/test_object_watcher.py
+++ b/tests/directory/test_object_watcher.py
@@ -4,7 +4,12 @@
 import unittest
 from unittest import mock
 
-from sapphirepaddle.directory import memory_source, object_watcher, source
+from sapphirepaddle.directory import (
+    memory_source,
+    object_watcher,
+    revisions,
+    source,
+)
 
 KIND = 'kind'
 
@@ -109,7 +114,9 @@
         self.number_by_name['one'] = 3
         self.watcher.skip_to(self.source.revision)
         previous_calls = self.source.calls
-        self.source.stale_revision = self.source.revision - 1
+        self.source.stale_revision = revisions.Revision(
+            0, self.source.number - 1
+        )
         async with self.source.changed:
             self.source.changed.notify_all()
         async with asyncio.timeout(20):
@@ -125,7 +132,9 @@
         for number in (2, 3):
             await self.change_object(number)
         await asyncio.sleep(0.1)
-        self.source.stale_revision = oldest_revision + 1
+        self.source.stale_revision = revisions.Revision(
+            0, oldest_revision.number + 1
+        )
         listing = source.ReadResult(
             oldest_revision,
             [source.Entry('one', {'n': 3})],
@@ -144,7 +153,9 @@
             await self.change_object(number)
         self.number_by_name['one'] = 3
         self.watcher.seen_revision = self.source.revision
-        self.source.stale_revision = self.source.revision - 1
+        self.source.stale_revision = revisions.Revision(
+            0, self.source.number - 1
+        )
         previous_calls = self.source.calls
         async with self.source.changed:
             self.source.changed.notify_all()
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -6,7 +6,12 @@
 from unittest import mock
 
 from sapphirepaddle import errors
-from sapphirepaddle.directory import directory, source, target_list
+from sapphirepaddle.directory import (
+    directory,
+    revisions,
+    source,
+    target_list,
+)
 from sapphirepaddle.edge import daemon
 from sapphirepaddle.platform import registrations
 from sapphirepaddle.settings import edge
@@ -80,6 +85,7 @@
 
     def __init__(self, wrapped_source: source.Source) -> None:
         """Initialize as connected."""
+        super().__init__()
         self.wrapped_source = wrapped_source
         self.is_disconnected = False
 
@@ -96,7 +102,7 @@
     async def watch(
         self,
         kind: str,
-        revision: int,
+        revision: revisions.Revision,
         seconds: float,
         is_stale_allowed: bool,
     ):
--- a/tests/edge/test_emptied_zones.py
+++ b/tests/edge/test_emptied_zones.py
@@ -4,7 +4,7 @@
 import math
 
 from sapphirepaddle import clock
-from sapphirepaddle.directory import source
+from sapphirepaddle.directory import revisions, source, target_list
 from sapphirepaddle.edge import daemon, zone_synchronizer
 from sapphirepaddle.peers import notices
 from sapphirepaddle.settings import edge
@@ -150,7 +150,7 @@
         edge_daemon = await self.start_daemon()
         synchronizer = edge_daemon.components.synchronizer.zone_synchronizer
         await asyncio.sleep(0.3)
-        self.assertEqual(synchronizer.watcher.revision, 0)
+        self.assertFalse(synchronizer.watcher.revision)
         self.assertEqual(synchronizer.watcher.call_started_at, 0)
 
 
@@ -219,9 +219,36 @@
         await self.write_zone('a')
         await self.wait_for_zones('a')
         synchronizer = self.daemons[0].components.synchronizer.zone_synchronizer
-        synchronizer.handle_message(notices.ZoneState(1, ()))
+        synchronizer.handle_message(
+            notices.ZoneState(revisions.Revision(0, 1), ())
+        )
         self.assertEqual(self.zones_of(self.daemons[0]), {'a'})
 
+    async def test_state_of_an_older_era_is_ignored(self) -> None:
+        await self.write_zone('a')
+        await self.wait_for_zones('a')
+        synchronizer = self.daemons[0].components.synchronizer.zone_synchronizer
+        synchronizer.handle_message(
+            notices.ZoneState(revisions.Revision(7, 1), ())
+        )
+        self.assertEqual(self.zones_of(self.daemons[0]), set())
+        synchronizer.handle_message(
+            notices.ZoneState(
+                revisions.Revision(6, 99), (notices.EmptiedZone('a', 0),)
+            )
+        )
+        self.assertEqual(self.zones_of(self.daemons[0]), set())
+
+    async def test_zone_that_a_copy_lacks_is_kept_for_the_grace(self) -> None:
+        self.source.served_era = 1
+        copy = self.source.number
+        await self.write_zone('a')
+        await self.wait_for_zones('a')
+        await self.source.return_from_copy(copy)
+        await asyncio.sleep(target_list.REREGISTRATION_GRACE_SECONDS / 2)
+        self.assertEqual(self.zones_of(self.daemons[0]), {'a'})
+        await self.wait_for_zones()
+
     async def test_age_passes_on(self) -> None:
         """The load moves at the same time at all daemons."""
         await self.write_zone('a')
--- a/tests/peers/test_digest_codec.py
+++ b/tests/peers/test_digest_codec.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from sapphirepaddle.directory import revisions
 from sapphirepaddle.peers import digest, digest_codec, notices
 
 
@@ -34,7 +35,7 @@
             ),
             digest.RegistrationChanges(
                 base_fingerprint=1,
-                revision=1 << 41,
+                revision=revisions.Revision(3, 1 << 41),
                 is_last=True,
                 changes=(
                     digest.RegistrationChange('t-1', b'{}'),
@@ -45,7 +46,7 @@
                 (digest.LeavingTarget(1, 1 << 41),), is_forwarded=True
             ),
             notices.ZoneState(
-                1 << 41,
+                revisions.Revision(7, 1 << 41),
                 (
                     notices.EmptiedZone('a', notices.MAX_ZONE_AGE_MS),
                     notices.EmptiedZone('b', 0),
--- a/tests/platform/test_object_source.py
+++ b/tests/platform/test_object_source.py
@@ -1,6 +1,7 @@
 """Tests of the object store client against a stand-in server."""
 
 import asyncio
+import contextlib
 import itertools
 import threading
 import typing
@@ -9,10 +10,10 @@
 from unittest import mock
 
 from sapphirepaddle import errors
-from sapphirepaddle.directory import memory_source, source
+from sapphirepaddle.directory import memory_source, revisions, source
 from sapphirepaddle.edge import listener
 from sapphirepaddle.platform import object_parser, object_source
-from sapphirepaddle.proxy import http_client
+from sapphirepaddle.proxy import http_client, http_message
 from sapphirepaddle.settings import edge
 from sapphirepaddle.standins import object_store
 from tests.support import edge_daemon_case
@@ -105,12 +106,12 @@
         )
 
     async def test_later_page_of_an_older_copy(self) -> None:
-        revisions = iter((9, 7, 8))
+        numbers = iter((9, 7, 8))
         pages = [
             {
                 'items': [{'metadata': {'name': name}, 'spec': {}}],
                 'truncated': name != 'c',
-                'currentRev': next(revisions),
+                'currentRev': next(numbers),
             }
             for name in 'abc'
         ]
@@ -121,7 +122,8 @@
                 'kind', is_stale_allowed=True
             )
         self.assertEqual(
-            (read_result.revision, read_result.newest_revision), (7, 9)
+            (read_result.revision, read_result.newest_revision),
+            (revisions.Revision(0, 7), revisions.Revision(0, 9)),
         )
 
     async def test_page_without_names_does_not_end_a_list(self) -> None:
@@ -157,6 +159,81 @@
         finished.set()
         self.assertEqual(await decoding, {'has_loop_run': True})
 
+    async def test_each_answer_states_the_era(self) -> None:
+        """A status that refuses the call, and a write, state it as well."""
+        calls = (
+            lambda: self.source.list_all('kind', is_stale_allowed=True),
+            lambda: self.source.watch(
+                'kind', revisions.Revision(9, 99), 0, is_stale_allowed=False
+            ),
+            lambda: self.source.delete('kind', 'missing'),
+            lambda: self.put('a', number=1),
+            lambda: self.put('a', number=2),
+        )
+        for era, call in enumerate(calls, 2):
+            self.memory.served_era = era
+            with contextlib.suppress(errors.HistoryLostError):
+                await call()
+            self.assertEqual(self.source.era.number, era)
+        self.store.faults.is_refusing = True
+        self.memory.served_era = 20
+        with self.assertRaises(errors.SourceError):
+            await self.put('b', number=1)
+        self.assertEqual(self.source.era.number, 20)
+
+    async def test_answer_of_an_older_era_is_not_used(self) -> None:
+        self.memory.served_era = 1
+        await self.put('a', number=1)
+        self.source.era.learn(2, 'peer')
+        calls = (
+            lambda: self.source.list_all('kind', is_stale_allowed=False),
+            lambda: self.source.watch(
+                'kind', revisions.Revision(2, 1), 0, is_stale_allowed=True
+            ),
+            lambda: self.source.watch(
+                'kind', revisions.Revision(2, 99), 0, is_stale_allowed=True
+            ),
+            lambda: self.put('a', number=2),
+        )
+        for call in calls:
+            with self.assertRaises(errors.OutdatedAnswerError):
+                await call()
+        self.assertEqual(self.source.era.number, 2)
+
+    async def test_number_given_out_again_is_no_position(self) -> None:
+        # The changes behind such a number were missed for good.
+        self.memory.served_era = 1
+        await self.put('a', number=1)
+        read_result = await self.source.list_all('kind', is_stale_allowed=False)
+        await self.memory.return_from_copy(1)
+        for name in 'bcd':
+            await self.put(name, number=1)
+        with self.assertRaises(errors.HistoryLostError):
+            await self.changes_since(read_result)
+
+    async def test_return_between_the_pages_of_a_list(self) -> None:
+        self.memory.served_era = 1
+        await self.put('z', number=1)
+        with self.assertRaises(errors.HistoryLostError):
+            await self.list_with_change(
+                lambda: self.memory.return_from_copy(self.memory.number - 1)
+            )
+
+    async def test_malformed_era_changes_nothing(self) -> None:
+        for text in (b'', b'-1', b'2 3', b'0x3', b'1e3', b'9' * 40, b'\xb2'):
+            self.assertIsNone(self.read_era((b'Store-Era', text)))
+        twice = [(b'Store-Era', b'1'), (b'store-era', b'2')]
+        self.assertIsNone(self.read_era(*twice))
+        self.assertEqual(self.read_era((b'STORE-ERA', b'12')), 12)
+
+    def read_era(self, *headers: tuple[bytes, bytes]) -> int | None:
+        """Return the era that an answer with some headers states."""
+        return object_source.read_era(
+            http_message.ReceivedAnswer(
+                status=200, headers=[*headers], body=b'', is_reusable=True
+            )
+        )
+
     async def test_answer_without_a_revision_is_an_error(self) -> None:
         # Any other error would end the watch.
         for revision in ({}, {'currentRev': None}, {'currentRev': [1]}):
@@ -174,7 +251,9 @@
             mock.patch.object(object_parser, 'parse', parse),
             self.assertRaises(errors.SourceError),
         ):
-            await self.source.watch('kind', 1, 0, is_stale_allowed=False)
+            await self.source.watch(
+                'kind', revisions.Revision(0, 1), 0, is_stale_allowed=False
+            )
 
     async def test_names_are_quoted(self) -> None:
         await self.put('a/b c', number=1)
@@ -211,12 +290,14 @@
         await self.put('a', number=1)
         self.memory.drop_history()
         with self.assertRaises(errors.HistoryLostError):
-            await self.source.watch('kind', 1, 0.1, False)
+            await self.source.watch(
+                'kind', revisions.Revision(0, 1), 0.1, False
+            )
 
     async def test_timeout_is_an_error(self) -> None:
         self.store.faults.is_silent = True
         with self.assertRaises(errors.SourceError):
-            await self.source.watch('kind', 8, 0, False)
+            await self.source.watch('kind', revisions.Revision(0, 8), 0, False)
 
     async def test_lost_answer_of_a_completed_write_is_an_error(
         self,
--- a/tests/support/edge_daemon_case.py
+++ b/tests/support/edge_daemon_case.py
@@ -122,7 +122,7 @@
             is_first_start=self.is_first_start,
         )
         platform = adapter.PlatformAdapter(settings.source_address)
-        platform.source = self.source
+        platform.source = self.make_source()
         edge_daemon = daemon.EdgeDaemon(settings, platform)
         stop = asyncio.Event()
         task = asyncio.create_task(edge_daemon.run(stop))
@@ -133,6 +133,10 @@
         )
         return edge_daemon
 
+    def make_source(self) -> source.Source:
+        """Return the source of a daemon that starts."""
+        return self.source
+
     async def wait_until(
         self,
         condition: typing.Callable[[], bool],
