Keep what is known of targets against an older copy of the store

A list replaced what had been read before, whatever it was read from.

Ruled out: the order of revisions. The list is of the newer era, and is rightly taken; single entries of it are older than what was read.

An entry of a newer era counts only if it is no older. Within an era the store is right, as before.

Result: test_draining_target_stays_draining, test_removed_target_stays_removed and test_other_lifetime_counts_at_once fail in a copy without the comparison and pass with it.

--- a/sapphirepaddle/directory/registration.py
+++ b/sapphirepaddle/directory/registration.py
@@ -18,6 +18,8 @@
         is_draining: Whether the target is shutting down and takes no new
             requests.
         warmup_seconds: Time left in which it answers slowly after its start.
+        sequence: Number of the report, counted by the target since its start;
+            it changes nothing by itself.
     """
 
     name: str
@@ -29,6 +31,12 @@
     incarnation: int
     is_draining: bool = False
     warmup_seconds: float = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+    @property
+    def age_rank(self) -> tuple[int, int]:
+        """Return what orders the reports of targets with one name by age."""
+        return (self.incarnation, self.sequence)
 
     def is_same_incarnation(self, other: 'Registration') -> bool:
         """Return whether both have the same start time, address and service."""
--- a/sapphirepaddle/directory/target_list.py
+++ b/sapphirepaddle/directory/target_list.py
@@ -8,6 +8,7 @@
 from sapphirepaddle.directory import (
     directory,
     fingerprint,
+    known_reports,
     registration,
     source,
     source_era,
@@ -31,7 +32,8 @@
     An entry may expire during an outage of the source because its target could
     not renew it. Such a target is kept for a grace period after the recovery,
     in which it can register again. The same holds for an entry that the source
-    has lost because it returned from an older copy.
+    has lost because it returned from an older copy, and an entry of such a copy
+    does not revert what was read before.
 
     Attributes:
         directory: Directory whose targets are updated.
@@ -45,7 +47,9 @@
         pending_check: Timer of the next check; None if nothing is pending.
         deferred_count: Number of removals deferred since the start.
         fingerprint: Hash of the listed registrations.
-        era: Newest known era of the source.
+        known_reports: Tells which entries are older than what was read.
+        ignored_entries: Listed registrations of targets that were removed, by
+            target.
         logger: Logger for malformed entries and deferred removals.
     """
 
@@ -64,7 +68,10 @@
         self.pending_check: asyncio.TimerHandle | None = None
         self.deferred_count = 0
         self.fingerprint = fingerprint.Fingerprint()
-        self.era = era or source_era.SourceEra()
+        self.known_reports = known_reports.KnownReports(
+            era or source_era.SourceEra()
+        )
+        self.ignored_entries: dict[str, registration.Registration] = {}
         self.logger = logs.get_logger('targets')
 
     def apply_all(self, entries: list[source.Entry]) -> None:
@@ -123,8 +130,37 @@
             return
         self.fingerprint.update(target_registration)
         self.pending_removals.discard(name)
+        if self.known_reports.is_outdated(target_registration):
+            self.ignore_entry(target_registration)
+            return
+        self.ignored_entries.pop(name, None)
+        self.known_reports.record(target_registration)
         self.directory.update_target(target_registration)
 
+    def ignore_entry(self, target: registration.Registration) -> None:
+        """Keep what is known of a target against an older entry."""
+        is_in_use = self.directory.find_target(target.name) is not None
+        self.logger.info(
+            'entry older than what is known',
+            target=target.name,
+            incarnation=target.incarnation,
+            sequence=target.sequence,
+            draining=target.is_draining,
+            is_in_use=is_in_use,
+        )
+        self.known_reports.record_ignored(target)
+        if not is_in_use:
+            self.ignored_entries[target.name] = target
+            self.schedule_check()
+
+    def apply_renewed(self) -> None:
+        """Apply entries that were ignored and are still listed later."""
+        for target in list(self.ignored_entries.values()):
+            if not self.known_reports.is_outdated(target):
+                self.ignored_entries.pop(target.name)
+                self.known_reports.record(target)
+                self.directory.update_target(target)
+
     def remove_or_defer(self, name: str) -> None:
         """Remove a target whose entry is gone.
 
@@ -132,8 +168,10 @@
         its end.
         """
         self.fingerprint.remove(name)
+        self.ignored_entries.pop(name, None)
         grace_seconds = self.remaining_grace_seconds()
         if grace_seconds <= 0:
+            self.known_reports.record_removed((name,))
             self.directory.remove_target(name, 'entry removed')
             return
         if name not in self.pending_removals:
@@ -148,7 +186,9 @@
 
     def remaining_grace_seconds(self) -> float:
         """Return the seconds until missing entries count as gone for good."""
-        returned_at = max(self.read_returned_at(), self.era.returned_at)
+        returned_at = max(
+            self.read_returned_at(), self.known_reports.era.returned_at
+        )
         grace_ends_at = returned_at + REREGISTRATION_GRACE_SECONDS
         return grace_ends_at - clock.monotonic()
 
@@ -163,13 +203,15 @@
         """Check the pending removals, and again later while any is left."""
         self.pending_check = None
         self.remove_expired()
-        if self.pending_removals:
+        self.apply_renewed()
+        if self.pending_removals or self.ignored_entries:
             self.schedule_check()
 
     def remove_expired(self) -> None:
         """Remove the targets that did not register again in time."""
         if self.remaining_grace_seconds() > 0:
             return
+        self.known_reports.record_removed(self.pending_removals)
         for name in self.pending_removals:
             self.directory.remove_target(
                 name, 'not registered again after an outage'
--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -214,6 +214,7 @@
             'source_calls': self.platform.source.calls,
             'source_returns': self.platform.source.era.return_count,
             'source_answers_outdated': self.platform.source.era.outdated_count,
+            'entries_ignored': target_list.known_reports.ignored_count,
             'targets_kept': len(target_list.pending_removals),
         }
 
--- a/sapphirepaddle/platform/registrations.py
+++ b/sapphirepaddle/platform/registrations.py
@@ -69,9 +69,21 @@
         incarnation=require_integer(fields['born'], MAX_INCARNATION),
         is_draining=state == names.STATE_DRAINING,
         warmup_seconds=read_seconds(status.get('warmupLeftS')),
+        sequence=read_sequence(status.get('seq')),
     )
 
 
+def read_sequence(field: typing.Any) -> int:
+    """Return the number of a report; 0 if it is absent or no number.
+
+    It only orders reports, so an entry without one is still used.
+    """
+    try:
+        return require_integer(field, MAX_INCARNATION)
+    except EntryError:
+        return 0
+
+
 def read_address(address: str) -> tuple[str, int]:
     """Return the dotted IPv4 address and the port of a target.
 
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import math
+import typing
 import unittest
 from unittest import mock
 
 from sapphirepaddle import errors
 from sapphirepaddle.directory import (
     directory,
+    known_reports,
     revisions,
     source,
+    source_era,
     target_list,
 )
 from sapphirepaddle.edge import daemon
@@ -75,6 +78,119 @@
         self.assertEqual(self.directory.target_names(), {'t-2'})
 
 
+class TestReturnedCopy(unittest.IsolatedAsyncioTestCase):
+    """An older copy of the source must not revert what was read before.
+
+    A target that had reported that it leaves got requests again.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """List two targets at the first revision of an era."""
+        self.now = 100.0
+        patch = mock.patch.object(
+            target_list.clock,
+            'monotonic',
+            lambda: self.now,
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.era = source_era.SourceEra()
+        self.era.learn(1, 'source')
+        self.directory = directory.Directory('a', edge.Bounds())
+        self.target_list = target_list.TargetList(
+            self.directory,
+            registrations.decode_target,
+            lambda: -math.inf,
+            self.era,
+        )
+        self.copy = [self.entry('t-1', 4), self.entry('t-2', 4)]
+        self.target_list.apply_all(self.copy)
+
+    def entry(
+        self, name: str, sequence: int, **fields: typing.Any
+    ) -> source.Entry:
+        """Return an entry with a number of the target's report."""
+        content = platform_objects.target('reads', 80, **fields)
+        content['status']['seq'] = sequence
+        return source.Entry(name, content)
+
+    def return_from_copy(self) -> None:
+        """Learn of the return, and read the list of the copy."""
+        self.era.learn(self.era.number + 1, 'source')
+        self.target_list.apply_all(self.copy)
+
+    def is_draining(self, name: str) -> bool:
+        """Return whether a target is known to drain."""
+        return self.directory.find_target(name).registration.is_draining
+
+    async def test_draining_target_stays_draining(self) -> None:
+        self.target_list.apply_changes([self.entry('t-1', 7, state='draining')])
+        self.return_from_copy()
+        self.assertTrue(self.is_draining('t-1'))
+        self.target_list.apply_changes([self.entry('t-1', 6)])
+        self.assertTrue(self.is_draining('t-1'))
+        self.target_list.apply_changes([self.entry('t-1', 8)])
+        self.assertFalse(self.is_draining('t-1'))
+
+    async def test_removed_target_stays_removed(self) -> None:
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.copy[0] = self.entry('t-1', 9)
+        self.return_from_copy()
+        self.assertEqual(self.directory.target_names(), {'t-2'})
+        self.target_list.apply_changes([self.entry('t-1', 10)])
+        self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
+
+    async def test_entry_that_is_renewed_counts(self) -> None:
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.return_from_copy()
+        self.now += known_reports.RENEWAL_SECONDS
+        self.target_list.check_pending()
+        self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
+
+    async def test_entry_removed_again_does_not_return(self) -> None:
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.return_from_copy()
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.now += known_reports.RENEWAL_SECONDS
+        self.target_list.check_pending()
+        self.assertEqual(self.directory.target_names(), {'t-2'})
+
+    async def test_other_lifetime_counts_at_once(self) -> None:
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.copy[0] = self.entry('t-1', 1, born=2)
+        self.return_from_copy()
+        self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
+        self.copy[0] = self.entry('t-1', 4)
+        self.return_from_copy()
+        target = self.directory.find_target('t-1')
+        self.assertEqual(target.registration.incarnation, 2)
+
+    async def test_target_that_the_copy_lacks_is_kept_for_the_grace(
+        self,
+    ) -> None:
+        self.target_list.apply_changes([self.entry('t-3', 1)])
+        self.return_from_copy()
+        self.assertIn('t-3', self.directory.target_names())
+        self.now += GRACE_SECONDS
+        self.target_list.check_pending()
+        self.assertNotIn('t-3', self.directory.target_names())
+
+    async def test_within_an_era_the_source_is_right(self) -> None:
+        self.target_list.apply_changes([source.Entry('t-1', None)])
+        self.target_list.apply_changes([self.entry('t-1', 1)])
+        self.assertEqual(self.directory.target_names(), {'t-1', 't-2'})
+
+    async def test_memory_of_removed_targets_is_bounded(self) -> None:
+        for number in range(2 * known_reports.MAX_REMOVED):
+            name = f'u-{number}'
+            self.target_list.apply_changes([self.entry(name, 1)])
+            self.target_list.apply_changes([source.Entry(name, None)])
+        self.assertLessEqual(
+            len(self.target_list.known_reports.reports),
+            known_reports.MAX_REMOVED + 2,
+        )
+
+
 class DisconnectableSource(source.Source):
     """Source whose calls fail while it is disconnected.
 
