Write and look for again what a returned store has lost

Cause: a daemon whose member entry the store had lost looked for it only every 20 s, and daemons that started meanwhile did not find it. A daemon that started on a copy with an older configuration read the store every 0.7 s for the version that its peers stated, and asked none of them.

Ruled out: nothing; both were read in the code and shown by tests.

Change: a daemon that learns of a return looks for its entry after 0.2 to 2 s, and writes it if it is missing.

Result: test_lost_member_entry_is_written_again and test_daemon_that_starts_on_a_copy_learns_from_peers fail in a copy without the two changes and pass with them.

--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -1,6 +1,7 @@
 """Registers this daemon in the member list and discovers the others."""
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -12,6 +13,9 @@
 
 REGISTER_RETRY_SECONDS: typing.Final = 1.0
 """Pause after a failed registration."""
+RETURN_SPREAD_SECONDS: typing.Final = (0.2, 2.0)
+"""Range of the pause after a return of the source from an older copy before
+this daemon looks whether its entry was lost, so that not all write at once."""
 ASKED_NEIGHBOURS: typing.Final = 2
 """Number of daemons of its zone that a daemon asks beside the seeds."""
 REFRESH_INTERVAL_SECONDS: typing.Final = 20.0
@@ -33,6 +37,8 @@
         is_registered: Whether the list, when last read, had the entry of this
             daemon.
         has_read_members: Whether the list was read since the start.
+        source_returned: Event that is set after the source returned from an
+            older copy, until this daemon has looked for its entry.
         logger: Log of registration failures.
     """
 
@@ -48,6 +54,8 @@
         self.count_exchange = exchange
         self.is_registered = False
         self.has_read_members = False
+        self.source_returned = asyncio.Event()
+        platform.source.era.on_return.append(self.source_returned.set)
         self.logger = logs.get_logger('membership')
 
     async def run(self) -> None:
@@ -62,10 +70,18 @@
             await asyncio.sleep(pause_seconds)
             await self.refresh_members(is_stale_allowed=True)
         while True:
-            await asyncio.sleep(REFRESH_INTERVAL_SECONDS)
+            await self.wait_for_refresh()
             self.count_exchange.fleet.remove_silent()
             await self.ensure_registered()
 
+    async def wait_for_refresh(self) -> None:
+        """Wait until the list is due, or the source may have lost the entry."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFRESH_INTERVAL_SECONDS):
+                await self.source_returned.wait()
+        if self.source_returned.is_set():
+            await asyncio.sleep(random.uniform(*RETURN_SPREAD_SECONDS))
+
     def ask_neighbours(self) -> None:
         """Ask some daemons of the zone for what they tell one that starts.
 
@@ -77,12 +93,17 @@
         )
 
     async def ensure_registered(self) -> None:
-        """Read the list and write this daemon's entry if it is missing."""
-        if (
-            await self.refresh_members(is_stale_allowed=True)
-            and not self.is_registered
-        ):
-            await self.write_entry()
+        """Read the list and write this daemon's entry if it is missing.
+
+        After a return of the source this is repeated until it succeeds.
+        """
+        has_returned = self.source_returned.is_set()
+        self.source_returned.clear()
+        is_done = await self.refresh_members(is_stale_allowed=True) and (
+            self.is_registered or await self.write_entry()
+        )
+        if has_returned and not is_done:
+            self.source_returned.set()
 
     @property
     def local_host(self) -> str:
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -412,8 +412,9 @@
             reads = 0
         for _ in range(reads):
             if await self.has_read_configuration():
-                return
-        await self.fetch_newest_snapshot()
+                break
+        if self.count_exchange.digest_receiver.knows_newer_version():
+            await self.fetch_newest_snapshot()
 
     async def has_read_configuration(self) -> bool:
         """Read the configuration; return whether the source answered."""
--- a/tests/edge/test_returned_store.py
+++ b/tests/edge/test_returned_store.py
@@ -109,6 +109,30 @@
         await asyncio.sleep(3)
         self.assertEqual({held.version for held in self.directories()}, {2})
 
+    async def test_daemon_that_starts_on_a_copy_learns_from_peers(self) -> None:
+        # It read the source over and over, which did not have the version.
+        copy = self.source.number
+        await self.configure(platform_objects.configuration(2))
+        await self.wait_for_version(2)
+        await self.source.return_from_copy(copy)
+        await self.start_daemon(7, 'b')
+        await self.wait_for_version(2)
+
+    async def test_lost_member_entry_is_written_again(self) -> None:
+        # It was looked for only every 20 s.
+        copy = self.source.number
+        await self.start_daemon(7, 'b')
+        name = self.daemons[-1].components.fleet.local_member.name
+        kind = self.daemons[-1].components.platform.member_kind
+        await self.wait_until(lambda: name in self.source.objects[kind])
+        await asyncio.sleep(5)
+        await self.source.return_from_copy(copy)
+        await self.write_filler(1)
+        await self.wait_for_eras()
+        await self.wait_until(
+            lambda: name in self.source.objects[kind], seconds=5
+        )
+
     async def test_readers_list_for_the_others(self) -> None:
         copy = self.source.number
         await self.write_filler(3)
