Refuse requests whose end two readers could place differently

Reading went on, where RFC 9112, section 6.1, requires that the connection closes.

Ruled out: a fault of the parser, whose reading the standard allows.

Change: paddle-edge refuses a head with both framings, with chunks in HTTP/1.0, or with a folded line or a bare CR or LF with 400, and closes. paddle-entry refuses transfer codings besides chunked with 501, and closes: it ran what stood behind the chunks and passed the body on without its coding. test_smuggled_request_is_not_run never sent the inner request, so it could not fail; it sends it now.

--- a/sapphirepaddle/codes.py
+++ b/sapphirepaddle/codes.py
@@ -291,6 +291,13 @@
     MAY_HAVE_RUN,
     'This daemon stopped before the target answered.',
 )
+TRANSFER_CODING_UNKNOWN: typing.Final = ResultCode(
+    3038,
+    'transfer-coding-unknown',
+    501,
+    NOT_RUN,
+    'The request has a transfer coding other than chunked.',
+)
 INTERNAL: typing.Final = ResultCode(
     3099,
     'internal',
--- a/sapphirepaddle/gateway/body.py
+++ b/sapphirepaddle/gateway/body.py
@@ -5,7 +5,12 @@
 from collections import abc
 
 from sapphirepaddle import codes, errors
-from sapphirepaddle.gateway import head, header_names, target_client
+from sapphirepaddle.gateway import (
+    caller_connection,
+    head,
+    header_names,
+    target_client,
+)
 from sapphirepaddle.settings import entry
 
 Receive = abc.Callable[
@@ -27,11 +32,13 @@
         limits: Size and time limits of bodies.
 
     Raises:
-        RefusedError: If the body is too large, comes with a GET or HEAD,
-            does not arrive in time or the caller disconnected.
+        RefusedError: If the body is too large, comes with a GET or HEAD, has
+            a transfer coding other than chunked, does not arrive in time or
+            the caller disconnected.
     """
     if not request_head.has_body():
         return b''
+    check_coding(request_head)
     check_declared_length(request_head, limits)
     buffer = bytearray()
     while len(buffer) <= limits.buffer_bytes:
@@ -58,6 +65,17 @@
         raise errors.RefusedError(codes.BODY_TIMEOUT) from None
 
 
+def check_coding(request_head: head.Head) -> None:
+    """Check that a body has no transfer coding besides chunked.
+
+    Raises:
+        RefusedError: If it has; the target could not decode it, as only the
+            body is passed on.
+    """
+    if caller_connection.has_unknown_coding(request_head.headers):
+        raise errors.RefusedError(codes.TRANSFER_CODING_UNKNOWN)
+
+
 def check_declared_length(
     request_head: head.Head, limits: entry.CallerLimits
 ) -> None:
--- a/sapphirepaddle/gateway/caller_connection.py
+++ b/sapphirepaddle/gateway/caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import typing
+from collections import abc
 
 from uvicorn.protocols.http import httptools_impl
 
@@ -14,6 +15,7 @@
 CANCELLER_KEY: typing.Final = 'paddle.disconnect'
 """Key of the request's TaskCanceller in the ASGI scope."""
 
+CHUNKED: typing.Final = b'chunked'
 LIMITS: typing.Final = 'paddle_limits'
 STATUS_LINES: typing.Final = {  # noqa: WPS407
     codes.HEAD_TOO_LARGE: b'431 Request Header Fields Too Large',
@@ -156,6 +158,10 @@
             entry for entry in self.cancellers if not entry[0].response_complete
         ]
         self.cancellers.append((self.cycle, canceller))
+        if has_unknown_coding(self.headers):
+            # Another reader may place its end elsewhere.
+            self.is_discarding = True
+            self.cycle.keep_alive = False
         if self.pipeline:
             self.flow.resume_reading()
 
@@ -200,6 +206,14 @@
             super().timeout_keep_alive_handler()
 
 
+def has_unknown_coding(headers: abc.Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a head states a transfer coding other than chunked."""
+    return any(
+        name == header_names.TRANSFER_ENCODING and coding.lower() != CHUNKED
+        for name, coding in headers
+    )
+
+
 def create_protocol_class(limits: entry.CallerLimits) -> type[CallerProtocol]:
     """Return a protocol class with the given limits."""
     return type('BoundedProtocol', (CallerProtocol,), {'limits': limits})
--- a/sapphirepaddle/proxy/exchange.py
+++ b/sapphirepaddle/proxy/exchange.py
@@ -1,5 +1,6 @@
 """One request and its answer on a caller's connection."""
 
+import re
 import typing
 
 import h11
@@ -10,6 +11,9 @@
 BODY_HEADERS: typing.Final = frozenset(
     (b'content-length', b'transfer-encoding'),
 )
+HEAD_END: typing.Final = re.compile(rb'\n\r?\n')
+AMBIGUOUS_LINE: typing.Final = re.compile(rb'(?<!\r)\n|\r(?!\n)|\n[ \t]')
+"""A bare LF or CR, or a line that continues the one before it."""
 BODILESS_STATUSES: typing.Final = frozenset((204, 304))
 
 
@@ -22,6 +26,9 @@
     Attributes:
         http: Parser and serializer of this exchange.
         method: HTTP method of the request.
+        raw_head: What was received while the head was incomplete, with what
+            followed it in the same read; empty once the head was checked.
+        has_head: Whether the head was checked.
         held_bytes: Number of bytes of the request, head and body, that count
             against the memory budget.
     """
@@ -33,9 +40,41 @@
             max_incomplete_event_size=head_bytes,
         )
         self.method = b''
+        self.raw_head = bytearray()
+        self.has_head = False
         self.held_bytes = 0
         if leftover:
-            self.http.receive_data(leftover)
+            self.receive_data(leftover)
+
+    def receive_data(self, received: bytes) -> None:
+        """Pass data to the parser, and keep that of the head."""
+        if not self.has_head:
+            self.raw_head += received
+        self.http.receive_data(received)
+
+    def check_framing(self, head: h11.Request) -> None:
+        """Check that no other reader may place the end of a request elsewhere.
+
+        The parser joins folded lines, takes a bare LF for the end of a line,
+        and reads chunks where a length is stated too, or in HTTP/1.0
+        (RFC 9112, sections 2.2, 5.2 and 6.1).
+
+        Raises:
+            RemoteProtocolError: If one may.
+        """
+        end = HEAD_END.search(self.raw_head)
+        has_odd_line = AMBIGUOUS_LINE.search(
+            self.raw_head, 0, end.end() if end else len(self.raw_head)
+        )
+        self.has_head = True
+        self.raw_head = bytearray()
+        if has_odd_line:
+            raise h11.RemoteProtocolError('ambiguous end of a line')
+        names = {name for name, _ in head.headers}
+        if names >= BODY_HEADERS:
+            raise h11.RemoteProtocolError('both a length and chunks')
+        if b'transfer-encoding' in names and head.http_version < b'1.1':
+            raise h11.RemoteProtocolError('chunks in HTTP/1.0')
 
     @property
     def leftover(self) -> bytes:
--- a/sapphirepaddle/proxy/request_reader.py
+++ b/sapphirepaddle/proxy/request_reader.py
@@ -89,6 +89,7 @@
         if not isinstance(head, h11.Request):
             return None
         received_at = clock.monotonic()
+        current_exchange.check_framing(head)
         self.acquire_memory(current_exchange, self.check_size(head))
         body = await self.read_body(current_exchange)
         if body is None:
@@ -215,6 +216,6 @@
 
     async def feed(self, current_exchange: exchange.Exchange) -> None:
         """Read from the caller and pass the data to the parser."""
-        current_exchange.http.receive_data(
+        current_exchange.receive_data(
             await self.reader.read(stream_limits.READ_BYTES)
         )
--- a/tests/edge/test_requests.py
+++ b/tests/edge/test_requests.py
@@ -117,7 +117,11 @@
         inner = request('/reads/smuggled', 'inner')
         extra = ('Transfer-Encoding: chunked', f'Content-Length: {len(inner)}')
         raw_request = request('/reads/x', extra=extra) + b'0\r\n\r\n'
-        await self.send_raw(self.daemon, raw_request)
+        reader, writer = await self.connect(self.daemon)
+        writer.write(raw_request + inner)
+        async with asyncio.timeout(10):
+            await reader.read()
+        writer.close()
         paths = [received.path for received in self.targets['t-1'].received]
         self.assertNotIn('/reads/smuggled', paths)
 
