Remember what a target states after its entry was removed

Cause: an answer with Server-Leaving that arrived after the target's entry was removed marked a candidate that nobody kept. Other daemons ignored the notice, as the target was not listed there.

Ruled out: an answer that was not read, or a notice that was not sent; both are in the log. The new tests need no returned store.

Change: removed candidates are remembered whatever they had stated, within the same bound, and used again for the same incarnation, so that pauses and evidence hold as well. Notices are kept by name and incarnation and apply when the incarnation is listed, also as a target of another service.

--- a/sapphirepaddle/directory/directory.py
+++ b/sapphirepaddle/directory/directory.py
@@ -27,9 +27,17 @@
 """Part of the bound for emptying a zone over which its load moves away. The
 rest is left for learning that it is emptied, and for requests on their way."""
 
+LeavingLookup = abc.Callable[[registration.Registration], float | None]
 ConfigurationCallback = abc.Callable[[configuration.Configuration], None]
 
 
+def never_leaves(_registration: registration.Registration) -> None:
+    """Return None: by default no target is known to leave before it is listed.
+
+    What it states later is recorded at its candidate.
+    """
+
+
 class Directory:
     """Current configuration, and targets and retry budgets by service.
 
@@ -52,6 +60,8 @@
         warmup_admission: Decides how often this daemon may send to a cold
             target; None if nothing limits it.
         read_zone_size: Returns the number of daemons of this zone.
+        read_leaving_since: Returns the monotonic time since which an
+            incarnation of a target is known to leave; None if it is not.
         logger: Logger for changes of the configuration and the targets.
     """
 
@@ -77,6 +87,7 @@
         )
         self.warmup_admission: warmup_admission.WarmupAdmission | None = None
         self.read_zone_size: abc.Callable[[], int] = zone_choice.single_daemon
+        self.read_leaving_since: LeavingLookup = never_leaves
         self.logger = logs.get_logger('directory')
 
     @property
@@ -248,7 +259,7 @@
         """Add a target or apply its changed registration.
 
         A target that moved to another service is removed from the former one
-        first.
+        first. What was heard of the incarnation while it was not listed holds.
         """
         current_candidate = self.find_target(target_registration.name)
         if (
@@ -262,9 +273,13 @@
             and previous_service != target_registration.service
         ):
             self.remove_target(target_registration.name, 'service changed')
-        self.service_targets(target_registration.service).apply_registration(
-            target_registration, clock.monotonic()
-        )
+        targets = self.service_targets(target_registration.service)
+        targets.apply_registration(target_registration, clock.monotonic())
+        leaving_since = self.read_leaving_since(target_registration)
+        if leaving_since is not None:
+            targets.record_leaving(
+                targets.candidates[target_registration.name], leaving_since
+            )
         self.service_by_target[target_registration.name] = (
             target_registration.service
         )
--- a/sapphirepaddle/routing/service_targets.py
+++ b/sapphirepaddle/routing/service_targets.py
@@ -56,8 +56,8 @@
         drain_seconds: Time for which a leaving target may still be used if
             there is no other.
         former_candidates: Candidates that are no longer listed, or were
-            replaced by another incarnation, and must not be used if they are
-            listed again, by name and incarnation.
+            replaced by another incarnation, by name and incarnation. What they
+            state in late answers holds if they are listed again.
         zone_rates: Rate at which the daemons of another zone send requests to
             the targets of that zone, by zone.
         emptied_zones: Zones whose targets get no new requests.
@@ -93,7 +93,8 @@
         """Apply a registration.
 
         A new incarnation of a target starts without evidence. An incarnation
-        that was listed before is still bound by what it stated.
+        that was listed before keeps its evidence and what it stated, also in
+        answers that arrived while it was not listed.
         """
         name = target_registration.name
         target = self.candidates.get(name)
@@ -117,9 +118,8 @@
         target = self.candidates.pop(name, None)
         if target is None:
             return
-        if target.leaving_since is None and target.avoided_until < 0:
-            return
         key = (name, target.registration.incarnation)
+        self.former_candidates.pop(key, None)
         self.former_candidates[key] = target
         if len(self.former_candidates) > MAX_FORMER_CANDIDATES:
             self.former_candidates.pop(next(iter(self.former_candidates)))
--- a/tests/edge/test_target_notices.py
+++ b/tests/edge/test_target_notices.py
@@ -4,12 +4,14 @@
 import typing
 
 from sapphirepaddle.directory import source
+from sapphirepaddle.peers import digest, leaving_exchange
 from sapphirepaddle.settings import edge
 from tests.edge import test_requests
 from tests.support import platform_objects, scripted_target
 
 LEAVING = 'Server-Leaving: 1'
 DRAIN_SECONDS = 0.4
+request = test_requests.request
 
 
 class Leaving:
@@ -160,6 +162,79 @@
             )
             self.assertIsNone(targets.candidates['o-2'].leaving_since)
 
+    async def test_answer_that_arrives_after_its_entry_was_removed(
+        self,
+    ) -> None:
+        # It was forgotten, and the entry of a returned store used again.
+        other = await self.start_daemon(2, zone='b')
+        release = asyncio.Event()
+
+        async def answer_later(
+            received: scripted_target.ReceivedRequest,
+        ) -> None:
+            await release.wait()
+            await Leaving()(received)
+
+        self.targets['o-1'].script = answer_later
+        arrivals = self.arrivals('o-1')
+        orders = asyncio.gather(*(self.send_orders(1) for _ in range(4)))
+        await self.wait_until(lambda: self.arrivals('o-1') > arrivals)
+        directories = [
+            edge_daemon.components.directory for edge_daemon in self.daemons
+        ]
+        await self.source.apply_change('servers', source.Entry('o-1', None))
+        await self.wait_until(
+            lambda: not any(held.find_target('o-1') for held in directories)
+        )
+        release.set()
+        await orders
+        await asyncio.sleep(DRAIN_SECONDS)
+        await self.change_entry('o-1')
+        await self.wait_until(
+            lambda: all(held.find_target('o-1') for held in directories)
+        )
+        arrivals = self.arrivals('o-1')
+        self.assertEqual(await self.send_orders(20), [200] * 20)
+        for number in range(10):
+            await self.send_raw(
+                other, request('/orders/x', f'm{number}', 'POST', b'body')
+            )
+        self.assertEqual(self.arrivals('o-1'), arrivals)
+
+    async def test_notice_that_arrives_before_the_entry(self) -> None:
+        exchange = self.daemon.components.count_exchange.leaving_exchange
+        exchange.handle_notice(
+            digest.LeavingNotice(
+                (digest.LeavingTarget(digest.hash_name('o-3'), 1),)
+            )
+        )
+        await self.add_target('o-3', 'orders')
+        directory = self.daemon.components.directory
+        await self.wait_until(lambda: directory.find_target('o-3') is not None)
+        self.assertIsNotNone(directory.find_target('o-3').leaving_since)
+        await self.change_entry('o-3', born=2)
+        await self.wait_until(
+            lambda: directory.find_target('o-3').leaving_since is None
+        )
+
+    async def test_target_that_moves_to_another_service(self) -> None:
+        await self.make_leave('o-1')
+        directory = self.daemon.components.directory
+        entry = platform_objects.target('reads', self.targets['o-1'].port)
+        await self.source.apply_change('servers', source.Entry('o-1', entry))
+        await self.wait_until(
+            lambda: directory.service_by_target.get('o-1') == 'reads'
+        )
+        self.assertIsNotNone(directory.find_target('o-1').leaving_since)
+
+    async def test_memory_of_leaving_targets_is_bounded(self) -> None:
+        exchange = self.daemon.components.count_exchange.leaving_exchange
+        for number in range(leaving_exchange.MAX_KNOWN_TARGETS + 5):
+            exchange.apply(digest.LeavingTarget(number, 1))
+        self.assertEqual(
+            len(exchange.known_since), leaving_exchange.MAX_KNOWN_TARGETS
+        )
+
     async def test_malformed_header_is_ignored(self) -> None:
         for value in ('0', 'yes', '11', '1, 1', ''):
             self.targets['o-1'].script = Leaving(f'Server-Leaving: {value}')
@@ -185,6 +260,30 @@
         self.assertEqual(await self.send_orders(30), [200] * 30)
         self.assertEqual(self.arrivals('o-1'), 1)
 
+    async def test_pause_outlasts_the_entry(self) -> None:
+        release = asyncio.Event()
+
+        async def turn_away_later(
+            received: scripted_target.ReceivedRequest,
+        ) -> None:
+            await release.wait()
+            await Paused('60')(received)
+
+        self.targets['o-1'].script = turn_away_later
+        directory = self.daemon.components.directory
+        arrivals = self.arrivals('o-1')
+        orders = asyncio.gather(*(self.send_orders(1) for _ in range(4)))
+        await self.wait_until(lambda: self.arrivals('o-1') > arrivals)
+        await self.source.apply_change('servers', source.Entry('o-1', None))
+        await self.wait_until(lambda: not directory.find_target('o-1'))
+        release.set()
+        await orders
+        await self.change_entry('o-1')
+        await self.wait_until(lambda: directory.find_target('o-1') is not None)
+        arrivals = self.arrivals('o-1')
+        self.assertEqual(await self.send_orders(20), [200] * 20)
+        self.assertEqual(self.arrivals('o-1'), arrivals)
+
     async def test_target_is_used_after_its_pause(self) -> None:
         self.targets['o-1'].script = Paused('0.25')
         await self.send_orders(4)
