Read the member list by a fresh call after writing the entry

All reads of the member list allowed stale answers.

Ruled out: the reports between daemons and the shares of the quota, which hold with answers of the usual age.

Change: a daemon creates its entry first and then reads the list by one fresh call, so that of any two daemons at least the later one finds the other. An entry that exists is not written again unless it names another host.

--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -196,6 +196,14 @@
             and changed_kind == kind
         ]
 
+    async def create(self, kind: str, entry: source.Entry) -> bool:
+        """Create an object; return whether it did not exist before."""
+        self.record_call()
+        if entry.name in self.objects.get(kind, {}):
+            return False
+        await self.apply_change(kind, entry)
+        return True
+
     async def put(self, kind: str, entry: source.Entry) -> None:
         """Create or replace an object."""
         self.record_call()
--- a/sapphirepaddle/directory/source.py
+++ b/sapphirepaddle/directory/source.py
@@ -88,6 +88,10 @@
                 not have that history.
         """
 
+    @abc.abstractmethod
+    async def create(self, kind: str, entry: Entry) -> bool:
+        """Create an object; return whether it did not exist before."""
+
     @abc.abstractmethod
     async def put(self, kind: str, entry: Entry) -> None:
         """Create or replace an object."""
--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -23,8 +23,7 @@
 introductions were lost."""
 FIRST_REFRESH_SECONDS: typing.Final = (1.0, 3.0)
 """Pauses before the first reads after this daemon has registered. They find
-daemons that registered at the same time, and whose entries an answer that may
-be stale does not contain at once."""
+daemons that registered later, and whose introductions were lost."""
 
 
 class Membership:
@@ -34,6 +33,8 @@
         settings: Settings of the daemon.
         platform: Access to the platform.
         count_exchange: Introduces this daemon to the others.
+        is_created: Whether an entry of this daemon's name was written, by this
+            process or before its start.
         is_registered: Whether the list, when last read, had the entry of this
             daemon.
         has_read_members: Whether the list was read since the start.
@@ -52,6 +53,7 @@
         self.settings = settings
         self.platform = platform
         self.count_exchange = exchange
+        self.is_created = False
         self.is_registered = False
         self.has_read_members = False
         self.source_returned = asyncio.Event()
@@ -111,33 +113,55 @@
         return self.count_exchange.fleet.local_member.host
 
     async def register(self) -> bool:
-        """Register this daemon and read the entries of the others.
+        """Write the entry of this daemon, then read those of the others.
 
-        An entry written before a restart is still valid: the others learn of
-        the restart by an introduction.
+        Of any two daemons, at least the one whose entry was written later
+        finds the other's, whatever they started at, and introduces itself. So
+        the list must not be stale. An entry written before a restart is still
+        valid: the others learn of the restart by an introduction.
 
         Returns:
-            Whether the entry is listed or written.
+            Whether the entry is written and the list was read.
         """
-        if (
-            await self.refresh_members(is_stale_allowed=True)
-            and self.is_registered
-        ):
-            return True
-        return await self.write_entry()
+        if not self.is_created:
+            self.is_created = await self.create_entry()
+        if not self.is_created:
+            return False
+        is_read = await self.refresh_members(is_stale_allowed=False)
+        return is_read and (self.is_registered or await self.write_entry())
 
-    async def write_entry(self) -> bool:
-        """Write the entry of this daemon.
+    async def create_entry(self) -> bool:
+        """Write the entry of this daemon unless there is one of its name.
 
         Returns:
-            Whether the source accepted it.
+            Whether there is one now.
         """
+        try:
+            await self.platform.source.create(
+                self.platform.member_kind, self.local_entry()
+            )
+        except errors.SourceError as error:
+            self.logger.warning('registration failed', reason=error.detail)
+            return False
+        return True
+
+    def local_entry(self) -> source.Entry:
+        """Return the entry of this daemon."""
         local_member = self.count_exchange.fleet.local_member
-        entry = source.Entry(
+        return source.Entry(
             local_member.name, self.platform.encode_member(local_member)
         )
+
+    async def write_entry(self) -> bool:
+        """Write the entry of this daemon.
+
+        Returns:
+            Whether the source accepted it.
+        """
         try:
-            await self.platform.source.put(self.platform.member_kind, entry)
+            await self.platform.source.put(
+                self.platform.member_kind, self.local_entry()
+            )
         except errors.SourceError as error:
             self.logger.warning('registration failed', reason=error.detail)
             return False
--- a/sapphirepaddle/platform/object_source.py
+++ b/sapphirepaddle/platform/object_source.py
@@ -129,15 +129,20 @@
             )
         return [entry for entry in entries if entry is not None]
 
-    async def put(self, kind: str, entry: source.Entry) -> None:
-        """Create an object, or replace it if it exists."""
-        body = orjson.dumps(
-            {'metadata': {'name': entry.name}, 'spec': entry.content},
-        )
+    async def create(self, kind: str, entry: source.Entry) -> bool:
+        """Create an object; return whether it did not exist before."""
         try:
-            await self.call('POST', object_path(kind), body)
+            await self.call('POST', object_path(kind), encode_entry(entry))
         except ConflictError:
-            await self.call('PUT', object_path(kind, entry.name), body)
+            return False
+        return True
+
+    async def put(self, kind: str, entry: source.Entry) -> None:
+        """Create an object, or replace it if it exists."""
+        if not await self.create(kind, entry):
+            await self.call(
+                'PUT', object_path(kind, entry.name), encode_entry(entry)
+            )
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object; a missing one is no error."""
@@ -224,6 +229,13 @@
     return int(stated[0])
 
 
+def encode_entry(entry: source.Entry) -> bytes:
+    """Return the body of a call that writes an object."""
+    return orjson.dumps(
+        {'metadata': {'name': entry.name}, 'spec': entry.content}
+    )
+
+
 async def decode(body: bytes) -> source.Content:
     """Decode a body that must be a JSON object; an empty body is {}.
 
--- a/tests/directory/test_target_list.py
+++ b/tests/directory/test_target_list.py
@@ -233,6 +233,10 @@
         self.check_connected()
         return read_result
 
+    async def create(self, kind: str, entry: source.Entry) -> bool:
+        """Create an object."""
+        return await self.wrapped_source.create(kind, entry)
+
     async def put(self, kind: str, entry: source.Entry) -> None:
         """Create or replace an object."""
         await self.wrapped_source.put(kind, entry)
