Read the members while the store takes no writes

Cause: since a daemon creates its entry before it reads the list, one whose writes are refused at its start would not learn of the others.

Change: after a refused creation it reads a list that may be stale, as before.

Result: test_members_are_read_while_writes_fail; without the read it waits for the other daemon's introduction alone.

--- a/sapphirepaddle/edge/membership.py
+++ b/sapphirepaddle/edge/membership.py
@@ -118,7 +118,8 @@
         Of any two daemons, at least the one whose entry was written later
         finds the other's, whatever they started at, and introduces itself. So
         the list must not be stale. An entry written before a restart is still
-        valid: the others learn of the restart by an introduction.
+        valid: the others learn of the restart by an introduction. While the
+        source takes no writes, a stale list still names the others.
 
         Returns:
             Whether the entry is written and the list was read.
@@ -126,6 +127,7 @@
         if not self.is_created:
             self.is_created = await self.create_entry()
         if not self.is_created:
+            await self.refresh_members(is_stale_allowed=True)
             return False
         is_read = await self.refresh_members(is_stale_allowed=False)
         return is_read and (self.is_registered or await self.write_entry())
--- a/tests/edge/test_reader_role.py
+++ b/tests/edge/test_reader_role.py
@@ -421,6 +421,16 @@
         )
         self.assertIn('vm-1', self.source.objects[kind])
 
+    async def test_members_are_read_while_writes_fail(self) -> None:
+        first = await self.start_daemon(1)
+        kind = first.components.platform.member_kind
+        await self.wait_until(lambda: bool(self.source.objects.get(kind)))
+        with mock.patch.object(
+            self.source, 'create', side_effect=errors.SourceError('refused')
+        ):
+            second = await self.start_daemon(2)
+            await self.wait_until(lambda: second.components.fleet.size == 2)
+
     async def test_entry_of_another_host_is_replaced(self) -> None:
         edge_daemon = await self.start_daemon(1)
         membership = edge_daemon.components.membership
