--- a/sapphirepaddle/directory/memory_source.py
+++ b/sapphirepaddle/directory/memory_source.py
@@ -247,5 +247,6 @@
             if entry.content is not None:
                 content_by_name[entry.name] = entry.content
         self.served_era += 1
+        self.stale_revision = None
         async with self.changed:
             self.changed.notify_all()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,7 @@
 """Command line of the soak test.
 
 python -m soak [--seed N ...] [--fresh N] [--regressions] [--seconds S]
-[--daemons N] [--callers N] [--logs FOLDER]
+[--daemons N] [--callers N] [--returns] [--logs FOLDER]
 """
 
 import argparse
@@ -19,7 +19,9 @@
 def run_seed(seed: int, options: argparse.Namespace) -> list[str]:
     """Run one seed, print its result and return the findings."""
     logs = pathlib.Path(options.logs) / str(seed) if options.logs else None
-    size = runner.Size(options.seconds, options.daemons, options.callers)
+    size = runner.Size(
+        options.seconds, options.daemons, options.callers, options.returns
+    )
     result = asyncio.run(runner.run(seed, size, logs=logs))
     print(
         f'seed {seed}: {result.sent} sent, {result.served} served,'
@@ -41,6 +43,7 @@
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--daemons', type=int, default=6)
     parser.add_argument('--callers', type=int, default=24)
+    parser.add_argument('--returns', action='store_true')
     parser.add_argument('--logs', default='')
     options = parser.parse_args()
     seeds = list(options.seed)
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -24,11 +24,13 @@
         seconds: How long the callers send requests.
         daemons: Number of daemons.
         callers: Number of callers.
+        returns_store: Whether the store also returns from older copies.
     """
 
     seconds: float = 20
     daemons: int = 6
     callers: int = 24
+    returns_store: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +90,11 @@
         partitions = fault_schedule.partition_datagrams(system, until)
         notices = fault_schedule.make_notices(system, until)
         stale_reads = fault_schedule.make_reads_stale(system, until)
+        returns = (
+            [fault_schedule.return_store(system, until)]
+            if size.returns_store
+            else []
+        )
         composed_events = fault_schedule.compose_events(system, until)
         await asyncio.gather(
             fault_schedule.run(system),
@@ -96,6 +103,7 @@
             notices,
             composed_events,
             fault_schedule.empty_zones(system, until),
+            *returns,
             *running_callers,
         )
     finally:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -10,6 +10,7 @@
 from soak import (
     checker,
     datagram_partitions,
+    returned_store,
     target,
     testbed,
     testbed_settings,
@@ -76,6 +77,8 @@
 """Separates the seeds of composed events from those of the faults."""
 ZONE_SEED_STRIDE = 5000
 """Separates the seeds of emptied zones from those of the faults."""
+RETURN_SEED_STRIDE = 6000
+"""Separates the seeds of returns of the store from those of the faults."""
 MEAN_ZONE_PAUSE_SECONDS = 2.0
 MEAN_NOTICE_PAUSE_SECONDS = 2.5
 MEAN_PAIR_PAUSE_SECONDS = 2.0
@@ -112,6 +115,7 @@
         self.stale_rng = random.Random(seed * STALE_SEED_STRIDE + 1)
         self.pair_rng = random.Random(seed * PAIR_SEED_STRIDE + 1)
         self.zone_rng = random.Random(seed * ZONE_SEED_STRIDE + 1)
+        self.return_rng = random.Random(seed * RETURN_SEED_STRIDE + 1)
 
     async def run(self, system: testbed.Testbed) -> None:
         """Inject the scheduled faults and wait until all have ended."""
@@ -164,6 +168,11 @@
             system, until, ZONES, MEAN_ZONE_PAUSE_SECONDS, self.zone_rng
         )
 
+    async def return_store(self, system: testbed.Testbed, until: float) -> None:
+        """Let the store return from older copies, repeatedly."""
+        returns = returned_store.ReturnedStore(system, self.return_rng)
+        await returns.run(until)
+
     async def make_reads_stale(
         self, system: testbed.Testbed, until: float
     ) -> None:
