--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,8 @@
 from soak import runner, schedule
 
 SHORT_RUN = runner.Size(seconds=9, daemons=3, callers=24)
+RETURNS_RUN = runner.Size(seconds=15, daemons=6, callers=24, returns_store=True)
+RETURNS_SEED = 827832
 SEED = 3
 TURN_SECONDS = 2.0
 TURN_COUNT = 4
@@ -50,6 +52,18 @@
         self.assertGreater(result.served, 0)
 
 
+class TestReturnedStore(unittest.TestCase):
+    """The same while the store returns from older copies, repeatedly.
+
+    The seed found that the warm-up of targets was not relayed after a return.
+    """
+
+    def test_short_run_has_no_findings(self) -> None:
+        result = asyncio.run(runner.run(RETURNS_SEED, RETURNS_RUN))
+        self.assertEqual(result.findings, [])
+        self.assertGreater(result.served, 0)
+
+
 class TestDisabledMechanisms(unittest.TestCase):
     """Each run disables one mechanism; the checker must report its rule."""
 
