Tell how old a daemon's targets are

Cause: the log said that the targets of a reader differ, not for how long and against which revision, so a daemon that lags by a tenth of a second under many changes looked like one that has missed a change for good, and a fresh call that was asked for again and again like one that is answered.

Change: a daemon compares what readers report with its present and its former fingerprints (edge/target_freshness.py). The line `targets differ from those of readers` has the time for which no reader reported known targets, the time since one last did, the revision and whether an earlier fresh call is still unanswered; a gauge has the first. No decision uses it yet.

--- a/sapphirepaddle/edge/components.py
+++ b/sapphirepaddle/edge/components.py
@@ -193,6 +193,7 @@
         """Return the gauge values by label."""
         answer_memory = self.attempt_runner.answer_memory
         target_list = self.synchronizer.target_list
+        freshness = self.synchronizer.reader_role.freshness
         return {
             'configuration_version': self.directory.version,
             'targets': len(self.directory.service_by_target),
@@ -216,6 +217,7 @@
             'source_answers_outdated': self.platform.source.era.outdated_count,
             'entries_ignored': target_list.known_reports.ignored_count,
             'targets_kept': len(target_list.pending_removals),
+            'targets_missing_seconds': freshness.missing_seconds(),
         }
 
     def readiness_page(self) -> tuple[int, bytes]:
--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -5,6 +5,7 @@
 
 from sapphirepaddle import clock
 from sapphirepaddle.directory import object_watcher
+from sapphirepaddle.edge import target_freshness
 from sapphirepaddle.peers import count_exchange, digest, fleet
 from sapphirepaddle.telemetry import logs
 
@@ -20,6 +21,8 @@
 SETTLING_SECONDS: typing.Final = 1.5
 """Time after the start in which a daemon is no reader, as it does not know the
 others of its zone. Its first lists are fresh."""
+MAX_LOGGED_SECONDS: typing.Final = 999.0
+"""Maximum age that is logged; it stands for targets that no reader knew."""
 CONTACT_TOLERANCE_SECONDS: typing.Final = 0.3
 """Tolerance of the time at which a reader reports to have regained contact: its
 resolution and the delay of the report."""
@@ -66,6 +69,7 @@
             each check, on the monotonic clock; None if no reader's do.
         next_list_at: Monotonic time from which the full list may be read.
         list_interval_seconds: Interval to the next such list.
+        freshness: Compares the targets with those of the readers.
         logger: Log of role changes and mismatches.
     """
 
@@ -88,6 +92,7 @@
         self.differs_since: float | None = None
         self.next_list_at = -math.inf
         self.list_interval_seconds = LIST_INTERVAL_SECONDS[0]
+        self.freshness = target_freshness.TargetFreshness()
         self.logger = logs.get_logger('reading')
         for watcher, *seconds in zip(
             (target_watcher, configuration_watcher),
@@ -132,16 +137,37 @@
             if is_reader:
                 self.refresh_all()
         self.update_rank()
+        self.freshness.compare(
+            {
+                key: reader.targets_fingerprint
+                for key, reader in self.peer_readers().items()
+            }
+        )
         readers = self.readers_ahead()
         if readers:
-            self.logger.info(
-                'targets differ from those of readers', readers=len(readers)
-            )
+            self.log_difference(readers)
             self.watchers[0].refresh()
         self.list_if_different()
         self.replace_unanswered_calls()
         return readers
 
+    def log_difference(self, readers: list[int]) -> None:
+        """Log that readers know other targets, and what is done about it.
+
+        Args:
+            readers: Hashes of the names of the readers.
+        """
+        target_watcher = self.watchers[0]
+        self.logger.info(
+            'targets differ from those of readers',
+            readers=len(readers),
+            missing=round(self.freshness.missing_seconds(), 2),
+            age=round(min(self.freshness.age_seconds(), MAX_LOGGED_SECONDS), 2),
+            revision=target_watcher.revision.number,
+            is_available=target_watcher.unavailable_since is None,
+            was_requested=target_watcher.refresh_requested.is_set(),
+        )
+
     def list_if_different(self) -> None:
         """Read the full list if the targets have differed for too long.
 
--- a/sapphirepaddle/edge/state_synchronizer.py
+++ b/sapphirepaddle/edge/state_synchronizer.py
@@ -243,11 +243,13 @@
         self.raw_targets = {}
         self.store_raw_targets(entries)
         self.target_list.apply_all(entries)
+        self.reader_role.freshness.record_local(self.targets_fingerprint())
 
     def apply_target_changes(self, entries: list[source.Entry]) -> None:
         """Apply changed registrations."""
         self.store_raw_targets(entries)
         self.target_list.apply_changes(entries)
+        self.reader_role.freshness.record_local(self.targets_fingerprint())
 
     def handle_target_changes(self, entries: list[source.Entry]) -> None:
         """Apply changes read from the source; a reader relays them."""
