Read the full list for what was missed, not for what others change

Callers could see: requests to a target that had left, at a daemon that missed that change while others arrived.

Cause: the full list that repairs a missed change was asked for when a reader had differed at each check for 3 s, and then not for 10, 20 ... 320 s until none differed. Under many changes some reader always differs for a moment, so a list came early, used up the interval, and said nothing about a change missed later. Even without that, 3 s exceed the bound for draining (2 s).

Ruled out: shorter intervals alone; each daemon would list every few seconds under many changes.

Change: a reader differs only if it reports targets that are neither the present nor a former local state, so that changes on their way do not count. The list is read after 1.2 s in which no reader reported known targets, or after 3 s in which one reported others; each rule has an interval of its own, which starts anew once nothing is missing. A daemon that is ahead of a reader makes no fresh call for it any more.

--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -1,5 +1,6 @@
 """Decides whether a daemon reads the source for its zone, and detects lag."""
 
+import dataclasses
 import math
 import typing
 
@@ -12,12 +13,14 @@
 MAX_MISMATCH_SECONDS: typing.Final = 0.7
 """Time for which the targets fingerprint of a reader may differ from the local
 one: slightly longer than the interval in which watches batch changes."""
+MAX_MISSING_SECONDS: typing.Final = 1.2
+"""Time for which no reader may report known targets whatever is read; then a
+full list is read. The fresh call after a mismatch is normally answered by
+then."""
 MAX_DIFFERENCE_SECONDS: typing.Final = 3.0
-"""Time for which the targets may differ from those of a reader whatever is
-read; then a full list is read."""
+"""The same for one reader, while another one reports known targets."""
 LIST_INTERVAL_SECONDS: typing.Final = (10.0, 320.0)
-"""First and longest interval between such lists; it doubles while they change
-nothing."""
+"""First and longest interval between lists that do not help; it doubles."""
 SETTLING_SECONDS: typing.Final = 1.5
 """Time after the start in which a daemon is no reader, as it does not know the
 others of its zone. Its first lists are fresh."""
@@ -39,6 +42,39 @@
 configuration from the first readers of all zones."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandledMismatch:
+    """A difference for which a fresh call was made.
+
+    Attributes:
+        pair: Local and remote fingerprint.
+        at: Monotonic time of the request.
+    """
+
+    pair: tuple[int, int]
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class ListSchedule:
+    """When the next full list may be read.
+
+    Attributes:
+        next_at: Monotonic time from which it may be.
+        interval_seconds: Interval after the next list.
+    """
+
+    next_at: float = -math.inf
+    interval_seconds: float = LIST_INTERVAL_SECONDS[0]
+
+    def record(self, now: float) -> None:
+        """Record that a list is read, and double the interval."""
+        self.next_at = now + self.interval_seconds
+        self.interval_seconds = min(
+            2 * self.interval_seconds, LIST_INTERVAL_SECONDS[1]
+        )
+
+
 class ReaderRole:
     """Decides whether a daemon reads the source with fresh calls.
 
@@ -61,14 +97,11 @@
         settled_at: Monotonic time from which it may be a reader.
         was_reader: Whether this daemon was a reader at the last check.
         was_first: Whether it was the first reader at the last check.
-        mismatch_since: Since when a reader's fingerprint has differed, by
-            reader, on the monotonic clock.
         handled_mismatches: The last pair of local and remote fingerprint for
-            which a fresh call was made, by reader.
-        differs_since: Since when the targets of a reader have differed at
-            each check, on the monotonic clock; None if no reader's do.
-        next_list_at: Monotonic time from which the full list may be read.
-        list_interval_seconds: Interval to the next such list.
+            which a fresh call was made, and when, by reader.
+        missing_schedule: When the full list may be read if no reader reports
+            known targets.
+        difference_schedule: The same if one reader reports others.
         freshness: Compares the targets with those of the readers.
         logger: Log of role changes and mismatches.
     """
@@ -87,11 +120,9 @@
         self.settled_at = clock.monotonic() + SETTLING_SECONDS
         self.was_reader = False
         self.was_first = True
-        self.mismatch_since: dict[int, float] = {}
-        self.handled_mismatches: dict[int, tuple[int, int]] = {}
-        self.differs_since: float | None = None
-        self.next_list_at = -math.inf
-        self.list_interval_seconds = LIST_INTERVAL_SECONDS[0]
+        self.handled_mismatches: dict[int, HandledMismatch] = {}
+        self.missing_schedule = ListSchedule()
+        self.difference_schedule = ListSchedule()
         self.freshness = target_freshness.TargetFreshness()
         self.logger = logs.get_logger('reading')
         for watcher, *seconds in zip(
@@ -174,28 +205,25 @@
         Watches bring only what changes, so they repair no change that was
         missed. Readers compare themselves with each other, and list as well.
         """
-        now = clock.monotonic()
-        local_fingerprint = self.count_exchange.read_targets_fingerprint()
-        if not any(
-            reader.targets_fingerprint not in {0, local_fingerprint}
-            for reader in self.peer_readers().values()
-        ):
-            self.differs_since = None
-            self.list_interval_seconds = LIST_INTERVAL_SECONDS[0]
+        freshness = self.freshness
+        if not freshness.missing_seconds():
+            self.missing_schedule = ListSchedule()
+        if not freshness.has_unmatched():
+            self.difference_schedule = ListSchedule()
+        if self.watchers[0].unavailable_since is not None:
             return
-        if self.differs_since is None:
-            self.differs_since = now
-        is_late = now - self.differs_since > MAX_DIFFERENCE_SECONDS
-        if (
-            is_late
-            and now >= self.next_list_at
-            and self.watchers[0].unavailable_since is None
-        ):
+        schedule = self.difference_schedule
+        seconds = max(
+            map(freshness.unmatched_seconds, freshness.comparisons), default=0
+        )
+        limit_seconds = MAX_DIFFERENCE_SECONDS
+        if freshness.missing_seconds():
+            schedule = self.missing_schedule
+            limit_seconds = MAX_MISSING_SECONDS
+        now = clock.monotonic()
+        if seconds > limit_seconds and now >= schedule.next_at:
             self.logger.warning('targets differ for long, list requested')
-            self.next_list_at = now + self.list_interval_seconds
-            self.list_interval_seconds = min(
-                2 * self.list_interval_seconds, LIST_INTERVAL_SECONDS[1]
-            )
+            schedule.record(now)
             self.watchers[0].request_list()
 
     def update_rank(self) -> None:
@@ -276,26 +304,20 @@
     def readers_ahead(self) -> list[int]:
         """Return the readers whose fingerprint has differed for too long.
 
-        Each pair of fingerprints is reported once.
+        Each pair of fingerprints is reported once, and each reader at most
+        once in MAX_MISMATCH_SECONDS.
         """
         now = clock.monotonic()
         local_fingerprint = self.count_exchange.read_targets_fingerprint()
-        fingerprints = {
-            key: (local_fingerprint, reader.targets_fingerprint)
-            for key, reader in self.peer_readers().items()
-        }
-        self.mismatch_since = {
-            key: self.mismatch_since.get(key, now)
-            for key, (local, remote) in fingerprints.items()
-            if remote
-            and local != remote
-            and self.handled_mismatches.get(key) != (local, remote)
-        }
-        readers = [
-            key
-            for key, since in self.mismatch_since.items()
-            if now - since > MAX_MISMATCH_SECONDS
-        ]
-        for key in readers:
-            self.handled_mismatches[key] = fingerprints[key]
+        readers = []
+        for key, reader in self.peer_readers().items():
+            pair = (local_fingerprint, reader.targets_fingerprint)
+            handled = self.handled_mismatches.get(key)
+            is_handled = handled is not None and (
+                handled.pair == pair or now - handled.at < MAX_MISMATCH_SECONDS
+            )
+            unmatched_seconds = self.freshness.unmatched_seconds(key)
+            if unmatched_seconds > MAX_MISMATCH_SECONDS and not is_handled:
+                self.handled_mismatches[key] = HandledMismatch(pair, now)
+                readers.append(key)
         return readers
--- a/sapphirepaddle/edge/target_freshness.py
+++ b/sapphirepaddle/edge/target_freshness.py
@@ -113,12 +113,17 @@
         return clock.monotonic() - comparison.unmatched_since
 
     def missing_seconds(self) -> float:
-        """Return for how long all compared readers have reported others.
+        """Return for how long one of the readers has reported others.
 
-        It is 0 while the targets of one of them are known, and if none is
+        It is 0 while the targets of any reader are known, and if none is
         compared.
         """
-        return min(map(self.unmatched_seconds, self.comparisons), default=0)
+        seconds = list(map(self.unmatched_seconds, self.comparisons))
+        return max(seconds) if seconds and all(seconds) else 0
+
+    def has_unmatched(self) -> bool:
+        """Return whether a reader has reported targets that are not known."""
+        return any(map(self.unmatched_seconds, self.comparisons))
 
     def age_seconds(self) -> float:
         """Return the time since the targets were last as new as a reader's.
