Let the number of hubs grow with the zone

Cause: three daemons of a zone, whatever its size, forward the digests of all to all. In a zone of 69 each serves 23 daemons and a third of what other zones send, 68 times: about 10 Mbit/s, all that the link of a small VM carries. Daemons that missed their echo sent to all directly, which added to it.

All violations seen on this site went through one of these hubs.

Ruled out: processor time (at most 0.062 of 0.301 cores), partitions (the hubs were in none at that time).

Change: a hub for each six daemons of a zone, three at least; daemons are assigned by rank, evenly. Zones of up to 18 daemons are as before but for the even assignment.

--- a/sapphirepaddle/peers/count_exchange.py
+++ b/sapphirepaddle/peers/count_exchange.py
@@ -197,7 +197,7 @@
                 now,
                 is_forwarded=True,
             )
-        self.send_bundles()
+        self.send_bundles(now)
 
     def send_to_same_zone(self, now: float, hosts: abc.Sequence[str]) -> None:
         """Send the changes to the same zone, through a hub if it is large.
@@ -229,10 +229,16 @@
             self.same_zone_changes, (host,), now, is_forwarded=True
         )
 
-    def send_bundles(self) -> None:
+    def send_bundles(self, now: float) -> None:
         """Send the digests that this daemon forwards as a hub."""
-        for body in self.digest_bundler.drain_bundles():
-            self.transmit(body, self.fleet.same_zone_hosts())
+        hosts = self.fleet.same_zone_hosts()
+        interval_seconds = SAME_ZONE_BATCH_SECONDS * hub_selector.bundle_factor(
+            len(hosts) + 1
+        )
+        if not self.digest_bundler.is_due(now, interval_seconds):
+            return
+        for body in self.digest_bundler.drain_bundles(now):
+            self.transmit(body, hosts)
 
     def send_changes(
         self,
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -308,7 +308,8 @@
             peer for peer in peers if peer.last_received_at >= horizon
         ]
         if len(peers) > hub_selector.MAX_DIRECT_PEERS:
-            hubs = sorted(peers, key=peer_hash)[: hub_selector.HUBS_PER_ZONE]
+            hub_count = hub_selector.hub_count(len(peers))
+            hubs = sorted(peers, key=peer_hash)[:hub_count]
             recent_hubs = [
                 peer for peer in hubs if peer.last_received_at >= horizon
             ]
--- a/sapphirepaddle/peers/hub_selector.py
+++ b/sapphirepaddle/peers/hub_selector.py
@@ -1,5 +1,6 @@
 """Selection of the hub that forwards local digests in a large zone."""
 
+import bisect
 import math
 import typing
 from collections import abc
@@ -11,8 +12,14 @@
 """Up to this number of peers in a zone, daemons send to each other directly.
 In larger zones the number of datagrams would grow quadratically, so hubs
 bundle them."""
-HUBS_PER_ZONE: typing.Final = 3
-"""Daemons in a zone that act as hubs; each serves a part of the others."""
+MIN_HUBS: typing.Final = 3
+"""Least number of hubs of a zone; each serves a part of the others."""
+DAEMONS_PER_HUB: typing.Final = 6
+"""Daemons whose digests one hub forwards in a larger zone. What a hub sends
+grows with their number and with the size of the zone."""
+MAX_BUNDLE_FACTOR: typing.Final = 2
+"""Most by which the interval between the bundles of a hub grows where there are
+more hubs, as each sends bundles to all."""
 ECHO_TIMEOUT_SECONDS: typing.Final = 0.4
 """Time within which a local digest must return in a bundle of the hub. Covers
 two batch intervals and the delays of a busy VM."""
@@ -20,6 +27,16 @@
 """Time for which digests go to all peers after one was not echoed."""
 
 
+def hub_count(zone_size: int) -> int:
+    """Return the number of hubs of a zone with some daemons."""
+    return max(MIN_HUBS, math.ceil(zone_size / DAEMONS_PER_HUB))
+
+
+def bundle_factor(zone_size: int) -> float:
+    """Return by how much the interval between bundles is longer."""
+    return min(MAX_BUNDLE_FACTOR, hub_count(zone_size) / MIN_HUBS)
+
+
 class HubSelector:
     """Chooses a hub and detects its failure.
 
@@ -48,15 +65,17 @@
     def choose(self, hashes: abc.Iterable[int]) -> int:
         """Return the hash of the hub that this daemon sends to.
 
-        The hubs are the HUBS_PER_ZONE daemons with the lowest hashes. The
-        local hash spreads the daemons over them; each failure moves this
-        daemon to the next one.
+        The hubs are the daemons with the lowest hashes. The rank among all
+        spreads the daemons over them; each failure moves this daemon to the
+        next one.
 
         Args:
             hashes: Hashes of all daemons of the zone.
         """
-        hubs = sorted(hashes)[:HUBS_PER_ZONE]
-        return hubs[(self.local_hash + self.failed_hub_count) % len(hubs)]
+        sorted_hashes = sorted(hashes)
+        hubs = sorted_hashes[: hub_count(len(sorted_hashes))]
+        rank = bisect.bisect_left(sorted_hashes, self.local_hash)
+        return hubs[(rank + self.failed_hub_count) % len(hubs)]
 
     def record_sent(
         self, changes: unsent_changes.UnsentChanges, now: float
--- a/tests/peers/test_hub_selector.py
+++ b/tests/peers/test_hub_selector.py
@@ -1,5 +1,7 @@
 """Tests of the hubs of a large zone."""
 
+import itertools
+
 from sapphirepaddle.peers import count_exchange, digest
 from tests.support import pooling_case
 
@@ -191,3 +193,35 @@
     def test_digests_of_a_daemon_become_rarer(self) -> None:
         most = len(self.zones) / count_exchange.SAME_ZONE_BATCH_SECONDS
         self.assertLess(self.count_digests(), most / 2)
+
+
+class TestZoneOfSeventyDaemons(pooling_case.PoolingCase):
+    """The hubs of a zone must not use up their links.
+
+    Three hubs for 69 daemons sent more than a link of 10 Mbit/s carries. Their
+    calls to the store and to targets timed out, and they went on with targets
+    that had left.
+    """
+
+    zones = ('a',) * 70
+    smallest_link_bytes = 5_000_000 / 8
+    seconds = 2
+
+    def test_busiest_daemon_uses_half_of_the_smallest_link(self) -> None:
+        self.network.bytes_by_sender.clear()
+        ends_at = self.now + self.seconds
+        for tick in itertools.count():
+            self.now += count_exchange.SAME_ZONE_BATCH_SECONDS + 0.001
+            if self.now > ends_at:
+                break
+            for number, daemon in enumerate(self.daemons):
+                if (tick + number) % 10 == 0:
+                    target = daemon.directory.find_target('t-1')
+                    target.record_answer(is_good=True, now=self.now)
+                    daemon.record_send_end(target, is_bad=False)
+                daemon.send_due(self.now)
+        rates = [
+            sent / self.seconds
+            for sent in self.network.bytes_by_sender.values()
+        ]
+        self.assertLessEqual(max(rates), self.smallest_link_bytes / 2)
--- a/tests/support/pooling_case.py
+++ b/tests/support/pooling_case.py
@@ -1,5 +1,6 @@
 """A test case whose daemons exchange their counts in memory."""
 
+import collections
 import unittest
 from unittest import mock
 
@@ -21,6 +22,7 @@
         is_lossy: Whether all datagrams are lost.
         bytes_sent: Bytes sent so far.
         datagrams_sent: Datagrams sent so far.
+        bytes_by_sender: Bytes that each host has sent so far.
         lossy_links: Links that lose all datagrams, as hosts of sender and
             receiver; an empty sender stands for all senders.
     """
@@ -31,6 +33,7 @@
         self.is_lossy = False
         self.bytes_sent = 0
         self.datagrams_sent = 0
+        self.bytes_by_sender: collections.Counter[str] = collections.Counter()
         self.lossy_links: set[tuple[str, str]] = set()
 
     def deliver(self, body: digest.Body, hosts: list[str], sender: str) -> None:
@@ -38,6 +41,7 @@
         raw = digest_codec.encode(body)
         for host in hosts:
             self.bytes_sent += len(raw)
+            self.bytes_by_sender[sender] += len(raw)
             self.datagrams_sent += 1
             is_lost = self.lossy_links & {(sender, host), ('', host)}
             if not self.is_lossy and not is_lost:
