Ask daemons of other zones if no reader of the own one is heard

Callers could see: requests to a target that had left, at a daemon that is partitioned from the store and alone in its zone, or with others that are partitioned too.

Cause: a daemon compared its targets only with readers of its own zone that have contact to the store. Without any it went on with what it had.

Result: tests.edge.test_partitioned_daemons failed before (20 s without learning of the departure) and passes.

--- a/sapphirepaddle/edge/reader_role.py
+++ b/sapphirepaddle/edge/reader_role.py
@@ -273,12 +273,22 @@
                 watcher.replace_call()
 
     def peer_readers(self) -> dict[int, fleet.Peer]:
-        """Return the other readers of the zone by the hash of the name."""
-        peers = self.count_exchange.fleet.peers
+        """Return the other readers of the zone by the hash of the name.
+
+        A daemon without contact to the source that hears from none compares
+        itself with readers of other zones.
+        """
+        peer_fleet = self.count_exchange.fleet
+        readers = {
+            key: peer_fleet.peers[key]
+            for key in peer_fleet.reader_hashes()
+            if key in peer_fleet.peers
+        }
+        if readers or self.watchers[0].unavailable_since is None:
+            return readers
         return {
-            key: peers[key]
-            for key in self.count_exchange.fleet.reader_hashes()
-            if key in peers
+            key: peer_fleet.peers[key]
+            for key in peer_fleet.other_zone_readers()
         }
 
     def replace_other_calls(self) -> None:
--- a/sapphirepaddle/peers/fleet.py
+++ b/sapphirepaddle/peers/fleet.py
@@ -222,6 +222,21 @@
         hashes.append(digest.hash_name(self.local_member.name))
         return sorted(hashes)[-READERS_PER_ZONE:]
 
+    def other_zone_readers(self) -> list[int]:
+        """Return the hashes of two daemons of other zones with contact.
+
+        They report less often than those of this zone.
+        """
+        horizon = clock.monotonic() - IN_TOUCH_TIMEOUT_SECONDS
+        hashes = [
+            name_hash
+            for name_hash, peer in self.peers.items()
+            if peer.member.zone != self.local_member.zone
+            and peer.last_received_at >= horizon
+            and peer.contact.since is not None
+        ]
+        return sorted(hashes)[-READERS_PER_ZONE:]
+
     def recent_hosts(self) -> list[str]:
         """Return the hosts of this zone's daemons that reported recently.
 
