--- a/tests/mechanisms_off.py
+++ b/tests/mechanisms_off.py
@@ -311,6 +311,36 @@
         'from sapphirepaddle.edge import reader_role\n'
         'reader_role.ReaderRole.list_if_different = lambda self: None',
     ),
+    Mutation(
+        'edge: a fresh call ends before the next one',
+        'directory.test_refreshes.TestRefreshesInQuickSuccession.'
+        'test_slow_answer_is_applied',
+        'from sapphirepaddle.directory import object_watcher\n'
+        'object_watcher.NextCall.is_refreshing = property(\n'
+        '    lambda self: False, lambda self, _: None\n'
+        ')',
+    ),
+    Mutation(
+        'edge: former local targets are known',
+        'edge.test_target_freshness.TestTargetFreshness.'
+        'test_reader_that_is_behind_has_nothing_new',
+        'from sapphirepaddle.edge import target_freshness\n'
+        'target_freshness.AHEAD_SECONDS = -1',
+    ),
+    Mutation(
+        'edge: daemons of other zones are asked',
+        'edge.test_partitioned_daemons.TestDaemonAloneInItsZone.'
+        'test_left_target',
+        'from sapphirepaddle.peers import fleet\n'
+        'fleet.Fleet.other_zone_readers = lambda self: []',
+    ),
+    Mutation(
+        'peers: the number of hubs grows with the zone',
+        'peers.test_hub_selector.TestZoneOfSeventyDaemons.'
+        'test_busiest_daemon_uses_half_of_the_smallest_link',
+        'from sapphirepaddle.peers import hub_selector\n'
+        'hub_selector.DAEMONS_PER_HUB = 1000',
+    ),
     Mutation(
         'edge: a time in which nobody asked is no outage',
         'edge.test_lost_readers.TestLostReader.'
@@ -334,6 +364,7 @@
         'from sapphirepaddle.edge import reader_role\n'
         'reader_role.ReaderRole.replace_unanswered_calls = lambda self: None\n'
         'reader_role.ReaderRole.readers_ahead = lambda self: []\n'
+        'reader_role.ReaderRole.list_if_different = lambda self: None\n'
         + WITHOUT_RELAY,
     ),
     Mutation(
@@ -421,7 +452,8 @@
         'edge: daemons behind a reader read again',
         'edge.test_reader_role.TestReaderRole.test_missed_changes_are_read',
         'from sapphirepaddle.edge import reader_role\n'
-        'reader_role.ReaderRole.readers_ahead = lambda self: []',
+        'reader_role.ReaderRole.readers_ahead = lambda self: []\n'
+        'reader_role.ReaderRole.list_if_different = lambda self: None',
     ),
     Mutation(
         'edge: readers relay changes',
