Let a fresh call end before a full list that is asked for

The full list is asked for 0.5 s after the fresh call, and replaced it 0.1 s before it would have failed; the list takes 0.6 s more to fail.

Change: a list that is asked for follows a fresh call that was asked for before.

Result: test_list_does_not_end_a_fresh_call failed before (two calls) and passes.

--- a/sapphirepaddle/directory/object_watcher.py
+++ b/sapphirepaddle/directory/object_watcher.py
@@ -359,9 +359,14 @@
             self.probe()
 
     def request_list(self) -> None:
-        """Request a full list, for a state that no watch will correct."""
+        """Request a full list, for a state that no watch will correct.
+
+        A fresh call that was requested before ends first, as it may show that
+        the source does not answer.
+        """
         self.next_call.must_list = True
-        self.replace_call()
+        if not self.next_call.is_refreshing:
+            self.replace_call()
 
     def skip_to(self, revision: revisions.Revision) -> None:
         """Continue from a revision whose objects were obtained elsewhere.
--- a/tests/directory/test_refreshes.py
+++ b/tests/directory/test_refreshes.py
@@ -90,3 +90,17 @@
         await self.change_object(2)
         await self.refresh_repeatedly()
         self.assertIn(2, self.numbers)
+
+    async def test_list_does_not_end_a_fresh_call(self) -> None:
+        self.enterContext(
+            mock.patch.object(memory_source, 'CALL_TIMEOUT_SECONDS', 60)
+        )
+        self.source.is_silent = True
+        self.watcher.refresh()
+        async with asyncio.timeout(20):
+            while not self.source.unanswered_calls:
+                await asyncio.sleep(0.01)
+        self.watcher.request_list()
+        for _ in range(20):
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.source.unanswered_calls, 1)
