Tests: send orders until one waits at the target

The product has no part in it.

Change: orders are sent until one waits there. What is checked afterwards is as before.

--- a/tests/edge/test_target_notices.py
+++ b/tests/edge/test_target_notices.py
@@ -177,8 +177,11 @@
 
         self.targets['o-1'].script = answer_later
         arrivals = self.arrivals('o-1')
-        orders = asyncio.gather(*(self.send_orders(1) for _ in range(4)))
-        await self.wait_until(lambda: self.arrivals('o-1') > arrivals)
+        orders = []
+        async with asyncio.timeout(60):
+            while self.arrivals('o-1') == arrivals:
+                orders.append(asyncio.create_task(self.send_orders(1)))
+                await asyncio.sleep(0.05)
         directories = [
             edge_daemon.components.directory for edge_daemon in self.daemons
         ]
@@ -187,7 +190,7 @@
             lambda: not any(held.find_target('o-1') for held in directories)
         )
         release.set()
-        await orders
+        await asyncio.gather(*orders)
         await asyncio.sleep(DRAIN_SECONDS)
         await self.change_entry('o-1')
         await self.wait_until(
@@ -272,12 +275,15 @@
         self.targets['o-1'].script = turn_away_later
         directory = self.daemon.components.directory
         arrivals = self.arrivals('o-1')
-        orders = asyncio.gather(*(self.send_orders(1) for _ in range(4)))
-        await self.wait_until(lambda: self.arrivals('o-1') > arrivals)
+        orders = []
+        async with asyncio.timeout(60):
+            while self.arrivals('o-1') == arrivals:
+                orders.append(asyncio.create_task(self.send_orders(1)))
+                await asyncio.sleep(0.05)
         await self.source.apply_change('servers', source.Entry('o-1', None))
         await self.wait_until(lambda: not directory.find_target('o-1'))
         release.set()
-        await orders
+        await asyncio.gather(*orders)
         await self.change_entry('o-1')
         await self.wait_until(lambda: directory.find_target('o-1') is not None)
         arrivals = self.arrivals('o-1')
